Serve a request end to end through entry, agent and stand-ins

Cause: the modules had no path from a caller to a target. Conclusion: the thin path stands; policies replace its simple choices next.

--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -0,0 +1,78 @@
+package org.vanilladale.agent
+
+import io.vertx.core.Vertx
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.tinylog.kotlin.Logger
+import org.vanilladale.runtime.OperatorEndpoint
+import org.vanilladale.runtime.SystemCounters
+import org.vanilladale.runtime.systemNow
+import org.vanilladale.schema.AgentSettings
+import org.vanilladale.schema.Heartbeat
+import org.vanilladale.schema.Incarnation
+import org.vanilladale.schema.PoolType
+import org.vanilladale.schema.Role
+import org.vanilladale.transport.ConnectionTiming
+import org.vanilladale.transport.LocalIdentity
+import org.vanilladale.transport.PeerConnection
+import org.vanilladale.transport.PeerIdentity
+import org.vanilladale.transport.PeerNetwork
+
+/** The process in a target VM's slot: takes attempts from entries and runs them at its target. */
+public class Agent(private val settings: AgentSettings) {
+    private val vertx = Vertx.vertx()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val counters = SystemCounters()
+    private val incarnation = Incarnation(Random.nextLong())
+    private val network = PeerNetwork(
+        LocalIdentity(
+            PeerIdentity(
+                settings.vm,
+                Role.AGENT,
+                settings.dataCentre,
+                incarnation,
+                settings.target,
+            ),
+            settings.peerSecret,
+        ),
+        ConnectionTiming(settings.heartbeatMilliseconds, settings.silenceMilliseconds),
+        ::systemNow,
+    )
+    private val runner = AttemptRunner(targetCaller(), settings.slots, ::systemNow)
+
+    /** Listens for entries and operators. */
+    public suspend fun start() {
+        val pages = mapOf("/v1/status" to { _: Map<String, String> -> statusText() })
+        OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
+            .start(settings.operatorAddress)
+        network.listen(scope, settings.peerAddress, ::serve)
+        Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
+    }
+
+    /** Ends at once. */
+    public fun stop() {
+        scope.cancel()
+        network.close()
+        vertx.close()
+    }
+
+    private suspend fun serve(connection: PeerConnection) {
+        val session = EntrySession(scope, connection, runner)
+        val reason = connection.run({ Heartbeat(systemNow()) }) { frame ->
+            if (!session.onFrame(frame)) counters.event("frame-unexpected")
+        }
+        session.end()
+        counters.event("connection-${reason.code}")
+    }
+
+    private fun targetCaller(): TargetCaller = when (settings.targetType) {
+        PoolType.MODEL -> ModelEngineCaller(vertx, settings.targetUrl, settings.slots).caller
+        PoolType.SERVICE -> PlainServiceCaller(vertx, settings.targetUrl, settings.slots).caller
+    }
+
+    private fun statusText(): String =
+        """{"vm":"${settings.vm}","target":"${settings.target}","incarnation":"$incarnation"}"""
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
@@ -0,0 +1,50 @@
+package org.vanilladale.agent
+
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import org.vanilladale.schema.Attempt
+import org.vanilladale.schema.Cancel
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.RequestId
+import org.vanilladale.schema.Submit
+import org.vanilladale.transport.PeerConnection
+
+/** Serves the attempts that come over one connection from an entry. */
+internal class EntrySession(
+    private val scope: CoroutineScope,
+    private val connection: PeerConnection,
+    private val runner: AttemptRunner,
+) {
+    private data class AttemptId(val request: RequestId, val attempt: Attempt)
+
+    private val attempts = ConcurrentHashMap<AttemptId, Job>()
+
+    /** Handles one frame; returns false for a type that this session does not know. */
+    fun onFrame(frame: Frame): Boolean = when (frame) {
+        is Submit -> {
+            start(frame)
+            true
+        }
+
+        is Cancel -> {
+            attempts[AttemptId(frame.request, frame.attempt)]?.cancel()
+            true
+        }
+
+        else -> false
+    }
+
+    /** Cancels the attempts of a connection that has ended. */
+    fun end() {
+        attempts.values.forEach { it.cancel() }
+    }
+
+    private fun start(submit: Submit) {
+        val id = AttemptId(submit.request, submit.attempt)
+        val job = scope.launch { runner.run(submit) { connection.send(it) } }
+        attempts[id] = job
+        job.invokeOnCompletion { attempts.remove(id, job) }
+    }
+}
--- a/agent/src/main/kotlin/org/vanilladale/agent/Main.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Main.kt
@@ -1,6 +1,34 @@
 package org.vanilladale.agent
 
-/** Starts the program. */
-public fun main() {
-    println("not available yet")
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.file
+import kotlinx.coroutines.runBlocking
+import org.vanilladale.core.settings.SettingsText
+import org.vanilladale.schema.AgentSettings
+
+private class AgentCommand : CliktCommand("vanilladale-agent") {
+    private val settings by option(help = "Settings file, JSON with comments")
+        .file(mustExist = true, canBeDir = false)
+        .required()
+    private val check by option(help = "Check the settings and exit").flag()
+
+    override fun help(context: Context) = "Runs in a target VM's slot and serves its target."
+
+    override fun run() {
+        val parsed = SettingsText.parse(AgentSettings.serializer(), settings.readText())
+            .fold({ throw CliktError(it.message) }, { it })
+        if (check) return
+        runBlocking { Agent(parsed).start() }
+    }
+}
+
+/** Starts the agent; see `--help`. */
+public fun main(arguments: Array<String>) {
+    AgentCommand().main(arguments)
 }
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
@@ -0,0 +1,49 @@
+package org.vanilladale.agent
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.runtime.runCatchingIo
+import org.vanilladale.schema.Submit
+
+/** Calls a plain service once and passes its whole answer on. */
+public class PlainServiceCaller(vertx: Vertx, private val serviceUrl: String, connections: Int) {
+    private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(connections))
+
+    /** The function that the agent calls. */
+    public val caller: TargetCaller = ::call
+
+    private suspend fun call(submit: Submit, onText: suspend (String) -> Unit): TargetOutcome {
+        val options = RequestOptions()
+            .setMethod(HttpMethod.POST)
+            .setAbsoluteURI(serviceUrl + submit.path)
+            .putHeader("service-key", "${submit.workspace}/${submit.key}")
+            .putHeader("content-type", submit.contentType)
+        val request = runCatchingIo { client.request(options).coAwait() }
+            ?: return TargetOutcome.Unreachable("no connection to the service at $serviceUrl")
+        var finished = false
+        try {
+            val answer = runCatchingIo {
+                val response = request.send(Buffer.buffer(submit.body)).coAwait()
+                response.statusCode() to response.body().coAwait()
+            } ?: return TargetOutcome.Broken("the service closed the connection")
+            finished = true
+            val (status, body) = answer
+            if (status !in SUCCESS) {
+                return TargetOutcome.Failed(RefusalReason.TARGET_FAILED, "status $status")
+            }
+            onText(body.toString(Charsets.UTF_8))
+            return TargetOutcome.Completed
+        } finally {
+            if (!finished) request.reset()
+        }
+    }
+
+    private companion object {
+        val SUCCESS: IntRange = 200..299
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/TargetOutcome.kt
@@ -0,0 +1,18 @@
+package org.vanilladale.agent
+
+import org.vanilladale.core.refusal.RefusalReason
+
+/** How a call to the target ended. */
+public sealed interface TargetOutcome {
+    /** The whole answer has come. */
+    public data object Completed : TargetOutcome
+
+    /** The target answered with an error and runs on. */
+    public data class Failed(val reason: RefusalReason, val detail: String) : TargetOutcome
+
+    /** The connection broke while the call ran; the target may have crashed. */
+    public data class Broken(val detail: String) : TargetOutcome
+
+    /** The target can't be reached and has not seen the call. */
+    public data class Unreachable(val detail: String) : TargetOutcome
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/settings/SettingsText.kt
@@ -0,0 +1,28 @@
+package org.vanilladale.core.settings
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.json.Json
+
+/** Reads settings in JSON with comments; unknown fields are faults. */
+@OptIn(ExperimentalSerializationApi::class)
+public object SettingsText {
+    private val json = Json {
+        allowComments = true
+        allowTrailingComma = true
+        ignoreUnknownKeys = false
+    }
+
+    /** Parses [text]; the left side names the field, what was found and the remedy. */
+    public fun <T> parse(
+        deserializer: DeserializationStrategy<T>,
+        text: String,
+    ): Either<SettingsFault, T> = try {
+        json.decodeFromString(deserializer, text).right()
+    } catch (fault: IllegalArgumentException) {
+        SettingsFault(fault.message.orEmpty().lineSequence().first()).left()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AgentLink.kt
@@ -0,0 +1,129 @@
+package org.vanilladale.entry
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.tinylog.kotlin.Logger
+import org.vanilladale.core.refusal.RetryReason
+import org.vanilladale.runtime.SystemCounters
+import org.vanilladale.schema.Answer
+import org.vanilladale.schema.AnswerEnd
+import org.vanilladale.schema.CancelResult
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.Heartbeat
+import org.vanilladale.schema.PoolTarget
+import org.vanilladale.schema.Refused
+import org.vanilladale.schema.RequestId
+import org.vanilladale.transport.CloseReason
+import org.vanilladale.transport.PeerConnection
+import org.vanilladale.transport.PeerNetwork
+
+/** Keeps one connection to the agent of [target] and passes frames to the attempts that use it. */
+internal class AgentLink(
+    val target: PoolTarget,
+    private val network: PeerNetwork,
+    private val counters: SystemCounters,
+    private val heartbeat: () -> Heartbeat,
+    private val onPeerFrame: suspend (PeerConnection, Frame) -> Unit,
+) {
+    private val pending = ConcurrentHashMap<RequestId, Channel<AttemptEvent>>()
+    private val nextRequest = AtomicLong(1)
+    private var job: Job? = null
+
+    /** Open connection, or null while there is none. */
+    @Volatile
+    var connection: PeerConnection? = null
+        private set
+
+    /** Attempts in flight on this link. */
+    val inFlight: Int get() = pending.size
+
+    /** Keeps the connection up until [stop]. */
+    fun start(scope: CoroutineScope) {
+        job = scope.launch { while (isActive) connectOnce() }
+    }
+
+    /** Ends the connection. */
+    fun stop() {
+        job?.cancel()
+        connection?.close()
+    }
+
+    /** Opens the event channel of a new attempt; [close] ends it. */
+    fun open(): OpenAttempt {
+        val request = RequestId(nextRequest.getAndIncrement())
+        val events = Channel<AttemptEvent>(EVENTS)
+        pending[request] = events
+        return OpenAttempt(request, events)
+    }
+
+    /** Forgets [attempt]; later frames for it are dropped and counted. */
+    fun close(attempt: OpenAttempt) {
+        pending.remove(attempt.request)
+    }
+
+    private suspend fun connectOnce() {
+        network.dial(target.agentAddress).fold(
+            { fault ->
+                Logger.debug { "entry: ${target.target}: ${fault.message}" }
+                delay(REDIAL_MILLISECONDS)
+            },
+            { opened -> use(opened) },
+        )
+    }
+
+    private suspend fun use(opened: PeerConnection) {
+        if (opened.remote.target != target.target) {
+            Logger.warn {
+                "entry: ${target.agentAddress} serves ${opened.remote.target}, but the table of " +
+                    "pools says ${target.target}; correct the table or the agent's settings"
+            }
+            opened.close()
+            delay(REDIAL_MILLISECONDS)
+            return
+        }
+        connection = opened
+        val reason = opened.run(heartbeat) { frame -> dispatch(opened, frame) }
+        connection = null
+        counters.event("connection-${reason.code}")
+        val retryReason = if (reason == CloseReason.SILENT) {
+            RetryReason.CONNECTION_SILENT
+        } else {
+            RetryReason.CONNECTION_LOST
+        }
+        pending.values.forEach { it.trySend(AttemptEvent.Lost(retryReason)) }
+    }
+
+    private suspend fun dispatch(opened: PeerConnection, frame: Frame) {
+        val request = when (frame) {
+            is Answer -> frame.request
+            is AnswerEnd -> frame.request
+            is Refused -> frame.request
+            is CancelResult -> frame.request
+            else -> return onPeerFrame(opened, frame)
+        }
+        val events = pending[request]
+        if (events == null) {
+            counters.event("frame-without-attempt")
+        } else if (events.trySend(AttemptEvent.Received(frame)).isFailure) {
+            // A caller that reads too slowly loses its stream instead of stopping all others.
+            counters.event("attempt-buffer-full")
+            events.close()
+        }
+    }
+
+    /** Events of one attempt. */
+    class OpenAttempt(val request: RequestId, val events: Channel<AttemptEvent>)
+
+    private companion object {
+        const val REDIAL_MILLISECONDS = 200L
+
+        /** Frames that wait for a slow caller. */
+        const val EVENTS = 4096
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
@@ -0,0 +1,117 @@
+package org.vanilladale.entry
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+import org.tinylog.kotlin.Logger
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.runtime.SystemCounters
+import org.vanilladale.runtime.runCatchingIo
+import org.vanilladale.schema.EntryList
+import org.vanilladale.schema.EntrySettings
+
+/** HTTP endpoint for callers. */
+internal class CallerEndpoint(
+    private val vertx: Vertx,
+    private val scope: CoroutineScope,
+    private val settings: EntrySettings,
+    private val counters: SystemCounters,
+    private val entryList: () -> EntryList,
+    private val run: suspend (CallerRequest, AnswerSink) -> Refusal?,
+) {
+    /** Listens on the caller address of the settings. */
+    suspend fun start(): HttpServer {
+        val router = Router.router(vertx)
+        router.get("/v1/entries").handler { context ->
+            val body = Json.encodeToString(EntryList.serializer(), entryList())
+            context.response().putHeader("content-type", "application/json").end(body)
+        }
+        router.post("/v1/requests").handler(::receive)
+        val address = settings.callerAddress
+        val options = HttpServerOptions().setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
+        return vertx.createHttpServer(options)
+            .requestHandler(router)
+            .listen(address.port, address.host)
+            .coAwait()
+    }
+
+    private fun receive(context: RoutingContext) {
+        CallerRequestHead.fromHeaders(context.request().headers()).fold(
+            { refuse(context, it) },
+            { head -> collectBody(context, head) },
+        )
+    }
+
+    /** Collects the body under a size limit and a deadline, so that slow callers hold no memory. */
+    private fun collectBody(context: RoutingContext, head: CallerRequestHead) {
+        val request = context.request()
+        val body = Buffer.buffer()
+        var refused = false
+        val timer = vertx.setTimer(settings.bodyMilliseconds) {
+            refused = true
+            refuse(context, Refusal(RefusalReason.BODY_TOO_SLOW))
+        }
+        request.handler { chunk ->
+            if (!refused && body.length() + chunk.length() > settings.maximumBodyBytes) {
+                refused = true
+                vertx.cancelTimer(timer)
+                refuse(context, Refusal(RefusalReason.BODY_TOO_LARGE, detail = sizeLimit()))
+            } else if (!refused) {
+                body.appendBuffer(chunk)
+            }
+        }
+        request.exceptionHandler { vertx.cancelTimer(timer) }
+        request.endHandler {
+            vertx.cancelTimer(timer)
+            if (!refused) start(context, CallerRequest(head, contentType(request), body.bytes))
+        }
+    }
+
+    private fun start(context: RoutingContext, request: CallerRequest) {
+        val sink = HttpAnswerSink(context.response())
+        val job = scope.launch {
+            runCatchingIo {
+                val refusal = run(request, sink)
+                if (refusal == null) sink.end() else logAndRefuse(request, sink, refusal)
+            }
+        }
+        context.response().closeHandler { job.cancel() }
+    }
+
+    private suspend fun logAndRefuse(
+        request: CallerRequest,
+        sink: HttpAnswerSink,
+        refusal: Refusal,
+    ) {
+        counters.refused(refusal.reason)
+        Logger.info {
+            "entry: ${request.head.workspace}/${request.head.key} refused: " +
+                "${refusal.reason.code}, run ${refusal.run.code}"
+        }
+        sink.refuse(refusal)
+    }
+
+    private fun refuse(context: RoutingContext, refusal: Refusal) {
+        counters.refused(refusal.reason)
+        context.response().putHeader("connection", "close")
+        scope.launch { runCatchingIo { HttpAnswerSink(context.response()).refuse(refusal) } }
+    }
+
+    private fun contentType(request: HttpServerRequest): String =
+        request.getHeader("content-type") ?: "application/octet-stream"
+
+    private fun sizeLimit() = "the limit is ${settings.maximumBodyBytes} bytes"
+
+    private companion object {
+        const val MAXIMUM_HEADER_BYTES = 8 * 1024
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -0,0 +1,113 @@
+package org.vanilladale.entry
+
+import arrow.core.raise.either
+import io.vertx.core.Vertx
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.serialization.builtins.ListSerializer
+import org.tinylog.kotlin.Logger
+import org.vanilladale.core.configuration.JoinedTables
+import org.vanilladale.core.settings.SettingsText
+import org.vanilladale.runtime.ConfigurationHolder
+import org.vanilladale.runtime.OperatorEndpoint
+import org.vanilladale.runtime.PlatformReader
+import org.vanilladale.runtime.SystemCounters
+import org.vanilladale.runtime.systemNow
+import org.vanilladale.schema.EntryAddress
+import org.vanilladale.schema.EntryList
+import org.vanilladale.schema.EntrySettings
+import org.vanilladale.schema.Heartbeat
+import org.vanilladale.schema.Incarnation
+import org.vanilladale.schema.Pool
+import org.vanilladale.schema.Role
+import org.vanilladale.schema.Route
+import org.vanilladale.schema.Tables
+import org.vanilladale.transport.ConnectionTiming
+import org.vanilladale.transport.LocalIdentity
+import org.vanilladale.transport.PeerIdentity
+import org.vanilladale.transport.PeerNetwork
+
+/** The process on an entry VM: takes requests from callers and routes them to agents. */
+public class Entry(private val settings: EntrySettings) {
+    private val vertx = Vertx.vertx()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val counters = SystemCounters()
+    private val configuration = ConfigurationHolder()
+    private val platform =
+        PlatformReader(vertx, settings.configurationServiceUrl, settings.vmListUrl)
+    private val network = PeerNetwork(
+        LocalIdentity(
+            PeerIdentity(
+                settings.vm,
+                Role.ENTRY,
+                settings.dataCentre,
+                Incarnation(Random.nextLong()),
+            ),
+            settings.peerSecret,
+        ),
+        ConnectionTiming(settings.heartbeatMilliseconds, settings.silenceMilliseconds),
+        ::systemNow,
+    )
+    private val links = AgentLinks(scope) { target ->
+        AgentLink(target, network, counters, { Heartbeat(systemNow()) }) { _, _ -> }
+    }
+    private val runner = RequestRunner(configuration, links, counters, ::systemNow)
+
+    /** Listens for callers and operators and follows the configuration. */
+    public suspend fun start() {
+        val pages = mapOf("/v1/status" to { _: Map<String, String> -> statusText() })
+        OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
+            .start(settings.operatorAddress)
+        scope.launch { while (isActive) followConfiguration() }
+        CallerEndpoint(vertx, scope, settings, counters, ::entryList, runner::run).start()
+        Logger.info { "entry: ${settings.vm} listens on ${settings.callerAddress}" }
+    }
+
+    /** Ends at once. */
+    public fun stop() {
+        scope.cancel()
+        network.close()
+        vertx.close()
+    }
+
+    private suspend fun followConfiguration() {
+        val published = platform.readTables(configuration.current?.revision, WATCH_MILLISECONDS)
+        if (published == null) {
+            delay(READ_PAUSE_MILLISECONDS)
+            return
+        }
+        either {
+            val routes = SettingsText.parse(ListSerializer(Route.serializer()), published.routes)
+            val pools = SettingsText.parse(ListSerializer(Pool.serializer()), published.pools)
+            Tables(published.revision, routes.bind(), pools.bind())
+        }.fold({ Logger.warn { "configuration: ${it.message}" } }) { tables ->
+            JoinedTables.fromTables(tables)
+                .fold({ faults -> Logger.warn { "configuration: $faults" } }, ::putInForce)
+        }
+    }
+
+    private fun putInForce(tables: JoinedTables) {
+        if (!configuration.offer(tables)) return
+        links.use(tables.tables.pools.flatMap { it.targets }.distinctBy { it.target })
+        Logger.info { "configuration: revision ${tables.revision} in force" }
+    }
+
+    private fun entryList() = EntryList(
+        listOf(EntryAddress(settings.callerAddress, settings.dataCentre)),
+        systemNow().deadlineAfter(settings.keepEntriesMilliseconds),
+    )
+
+    private fun statusText(): String =
+        """{"vm":"${settings.vm}","revision":${configuration.current?.revision?.value}}"""
+
+    private companion object {
+        const val WATCH_MILLISECONDS = 30_000L
+        const val READ_PAUSE_MILLISECONDS = 1_000L
+    }
+}
--- a/entry/src/main/kotlin/org/vanilladale/entry/Main.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Main.kt
@@ -1,6 +1,34 @@
 package org.vanilladale.entry
 
-/** Starts the program. */
-public fun main() {
-    println("not available yet")
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.file
+import kotlinx.coroutines.runBlocking
+import org.vanilladale.core.settings.SettingsText
+import org.vanilladale.schema.EntrySettings
+
+private class EntryCommand : CliktCommand("vanilladale-entry") {
+    private val settings by option(help = "Settings file, JSON with comments")
+        .file(mustExist = true, canBeDir = false)
+        .required()
+    private val check by option(help = "Check the settings and exit").flag()
+
+    override fun help(context: Context) = "Runs on an entry VM and serves callers."
+
+    override fun run() {
+        val parsed = SettingsText.parse(EntrySettings.serializer(), settings.readText())
+            .fold({ throw CliktError(it.message) }, { it })
+        if (check) return
+        runBlocking { Entry(parsed).start() }
+    }
+}
+
+/** Starts the entry; see `--help`. */
+public fun main(arguments: Array<String>) {
+    EntryCommand().main(arguments)
 }
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineCommand.kt
@@ -0,0 +1,25 @@
+package org.vanilladale.standins
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import io.vertx.core.Vertx
+
+internal class EngineCommand : CliktCommand("engine") {
+    private val port by option(help = "Port on the loopback address").int().required()
+    private val slots by option(help = "Requests in one batch").int().default(8)
+    private val stepMilliseconds by option(help = "Time of one step").long().default(10)
+    private val tokens by option(help = "Tokens in an answer").int().default(32)
+    private val loadLagMilliseconds by option(help = "Age of the load report").long().default(500)
+
+    override fun run() {
+        val settings = Engine.Settings(slots, stepMilliseconds, tokens, loadLagMilliseconds) {
+            Runtime.getRuntime().halt(1)
+        }
+        Engine(Vertx.vertx(), settings).start(port)
+        echo("engine listens on port $port")
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineStream.kt
@@ -0,0 +1,38 @@
+package org.vanilladale.standins
+
+import io.vertx.core.http.HttpServerResponse
+import io.vertx.core.json.JsonObject
+
+/** One request in the engine: produces one token a step until it has [tokens] of them. */
+internal class EngineStream(
+    val id: String,
+    val prompt: ByteArray,
+    val tokens: Int,
+    val priority: Int,
+    var next: Int,
+    private val response: HttpServerResponse,
+) {
+    @Volatile
+    var cancelled: Boolean = false
+
+    val done: Boolean get() = cancelled || next >= tokens
+
+    fun step() {
+        if (done) return
+        writeLine(JsonObject().put("text", AnswerTokens.token(prompt, next)))
+        next += 1
+        if (next >= tokens) {
+            writeLine(JsonObject().put("done", true).put("tokens", tokens))
+            response.end()
+        }
+    }
+
+    /** Sends the tokens up to [produced] at once, as a resumed stream does. */
+    fun replay(produced: Int) {
+        while (!done && next < produced) step()
+    }
+
+    private fun writeLine(line: JsonObject) {
+        if (!response.closed()) response.write(line.encode() + "\n")
+    }
+}
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Main.kt
@@ -1,6 +1,21 @@
 package org.vanilladale.standins
 
-/** Starts the program. */
-public fun main() {
-    println("not available yet")
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+private class StandInsCommand : CliktCommand("vanilladale-stand-ins") {
+    override fun run() = Unit
+}
+
+/** Starts one stand-in of the platform; see `--help`. */
+public fun main(arguments: Array<String>) {
+    StandInsCommand()
+        .subcommands(
+            ConfigurationServiceCommand(),
+            VmListCommand(),
+            EngineCommand(),
+            PlainServiceCommand(),
+        )
+        .main(arguments)
 }
