--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
@@ -0,0 +1,132 @@
+package org.vanilladale.core.routing
+
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Load
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.Timestamp
+
+/** Whether new work may go to a target. */
+public enum class TargetState {
+    /** Takes new work. */
+    READY,
+
+    /** Takes new work only while no target is ready. */
+    SLOW,
+
+    /** Takes no new work. */
+    UNAVAILABLE,
+}
+
+/**
+ * What one entry knows of the load and state of the targets of a pool. Keep it under a lock.
+ *
+ * The load of a target is the own requests in flight plus the reported requests of others; the
+ * latter count less with the age of the report, and nothing from [reportLifetimeMilliseconds] on.
+ */
+public class TargetLoadView(
+    private val reportLifetimeMilliseconds: Long = DEFAULT_REPORT_LIFETIME_MILLISECONDS,
+) {
+    private class Row {
+        var inFlight = 0
+        var load: Load? = null
+        var othersAtReport = 0
+        val delay = ReportDelay()
+        var slowUntil: Deadline? = null
+        var unavailableUntil: Deadline? = null
+        var leavingAt: Deadline? = null
+    }
+
+    private val rows = HashMap<TargetId, Row>()
+
+    /** Number of targets with state. */
+    public val size: Int get() = rows.size
+
+    /** Counts a request that was sent to [target]. */
+    public fun started(target: TargetId) {
+        row(target).inFlight++
+    }
+
+    /** Uncounts a request of [target] that ended in any way. */
+    public fun finished(target: TargetId) {
+        rows[target]?.let { it.inFlight = (it.inFlight - 1).coerceAtLeast(0) }
+    }
+
+    /** Returns the own requests in flight at [target]. */
+    public fun inFlight(target: TargetId): Int = rows[target]?.inFlight ?: 0
+
+    /** Takes a report; one that is older than the stored report changes nothing. */
+    public fun reported(target: TargetId, load: Load, receivedAt: Timestamp) {
+        val row = row(target)
+        val stored = row.load
+        if (stored != null && load.reportedAt < stored.reportedAt) return
+        row.delay.observe(load.reportedAt, receivedAt)
+        row.load = load
+        row.othersAtReport = (load.running + load.waiting - row.inFlight).coerceAtLeast(0)
+    }
+
+    /** Returns the last report of [target], or null while there is none or it is too old. */
+    public fun reportOrNull(target: TargetId, now: Timestamp): Load? =
+        rows[target]?.let { row -> row.load?.takeIf { weight(row, it, now) > 0.0 } }
+
+    /** Returns the discounted load of [target] in requests. */
+    public fun loadOf(target: TargetId, now: Timestamp): Double {
+        val row = rows[target] ?: return 0.0
+        val report = row.load ?: return row.inFlight.toDouble()
+        return row.inFlight + row.othersAtReport * weight(row, report, now)
+    }
+
+    /** Marks [target] as slow until [until], as when a rank of its group stalls. */
+    public fun markSlow(target: TargetId, until: Deadline) {
+        row(target).slowUntil = until
+    }
+
+    /** Takes the slow mark back. */
+    public fun clearSlow(target: TargetId) {
+        rows[target]?.slowUntil = null
+    }
+
+    /** Gives [target] no work until [until], as after a failed connection. */
+    public fun markUnavailable(target: TargetId, until: Deadline) {
+        row(target).unavailableUntil = until
+    }
+
+    /** Takes the unavailable mark back. */
+    public fun clearUnavailable(target: TargetId) {
+        rows[target]?.unavailableUntil = null
+    }
+
+    /** Gives [target] no work from [leavingAt] on; only [forget] ends it. */
+    public fun markLeaving(target: TargetId, leavingAt: Deadline) {
+        row(target).leavingAt = leavingAt
+    }
+
+    /** Drops the state of [target], as after a new incarnation or removal from the pool. */
+    public fun forget(target: TargetId) {
+        rows.remove(target)
+    }
+
+    /** Returns whether [target] may get new work at [now]; an unknown target is ready. */
+    public fun stateOf(target: TargetId, now: Timestamp): TargetState {
+        val row = rows[target] ?: return TargetState.READY
+        val leaving = row.leavingAt?.hasPassed(now) == true
+        val unavailable = row.unavailableUntil?.hasPassed(now) == false
+        val unhealthy = reportOrNull(target, now)?.healthy == false
+        return when {
+            leaving || unavailable || unhealthy -> TargetState.UNAVAILABLE
+            row.slowUntil?.hasPassed(now) == false -> TargetState.SLOW
+            else -> TargetState.READY
+        }
+    }
+
+    private fun weight(row: Row, report: Load, now: Timestamp): Double {
+        val age = row.delay.ageOf(report.reportedAt, now)
+        return (1.0 - age.toDouble() / reportLifetimeMilliseconds).coerceIn(0.0, 1.0)
+    }
+
+    private fun row(target: TargetId): Row = rows.getOrPut(target) { Row() }
+
+    public companion object {
+        /** Age from which a report says nothing; see docs/measurements-routing.md. */
+        public const val DEFAULT_REPORT_LIFETIME_MILLISECONDS: Long = 4_000
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetSubset.kt
@@ -0,0 +1,130 @@
+package org.vanilladale.core.routing
+
+import kotlin.math.ceil
+import org.vanilladale.schema.DataCentreName
+import org.vanilladale.schema.PoolTarget
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.VmId
+
+/** An entry as the subset computation sees it. */
+public data class SubsetEntry(val vm: VmId, val dataCentre: DataCentreName)
+
+/**
+ * The targets of one pool that one entry uses.
+ *
+ * All entries compute the same assignment from the same lists, so that the load is even without
+ * messages. Pairs of entry and target are taken in the order of a shared hash, pairs within one
+ * data centre first; an entry takes at most `size` targets and a target at most the mean number of
+ * entries times `slack`, rounded up. A change of one VM moves only the pairs next to it in that
+ * order. Entries with different lists for a while get slightly uneven subsets and no other harm.
+ */
+public class TargetSubset private constructor(public val targets: List<TargetId>) {
+    public companion object {
+        /** Default number of targets; see docs/measurements-routing.md. */
+        public const val DEFAULT_SIZE: Int = 16
+
+        /** Default share by which a target may exceed the mean number of entries. */
+        public const val DEFAULT_SLACK: Double = 1.1
+
+        /** Returns the subset of the entry [own], which may be missing in [entries]. */
+        public fun fromFleet(
+            own: SubsetEntry,
+            entries: Collection<SubsetEntry>,
+            targets: Collection<PoolTarget>,
+            size: Int = DEFAULT_SIZE,
+            slack: Double = DEFAULT_SLACK,
+        ): TargetSubset {
+            if (targets.size <=
+                size
+            ) {
+                return TargetSubset(targets.map { it.target }.sortedBy { it.text })
+            }
+            return fleet((entries + own).distinctBy { it.vm }, targets, size, slack)
+                .getValue(own.vm)
+        }
+
+        /** Returns the subset of each entry. */
+        public fun fleet(
+            entries: Collection<SubsetEntry>,
+            targets: Collection<PoolTarget>,
+            size: Int = DEFAULT_SIZE,
+            slack: Double = DEFAULT_SLACK,
+        ): Map<VmId, TargetSubset> {
+            require(size > 0) { "The subset size must be positive; found $size" }
+            require(slack >= 1.0) { "The slack must be at least 1; found $slack" }
+            val assignment = SubsetAssignment(
+                entries.sortedBy { it.vm.text },
+                targets.sortedBy { it.target.text },
+                size.coerceAtMost(targets.size),
+                slack,
+            )
+            return assignment.assign().mapValues { TargetSubset(it.value) }
+        }
+    }
+}
+
+private class SubsetAssignment(
+    private val entries: List<SubsetEntry>,
+    private val targets: List<PoolTarget>,
+    private val size: Int,
+    slack: Double,
+) {
+    private val entryHashes = entries.map { RendezvousHash.ofText(it.vm.text) }.toLongArray()
+    private val targetHashes = targets.map { RendezvousHash.ofText(it.target.text) }.toLongArray()
+    private val mean = entries.size.toDouble() * size / targets.size.coerceAtLeast(1)
+    private val highest = ceil(mean * slack - ROUNDING).toInt()
+    private val chosen = entries.map { LinkedHashSet<Int>() }
+    private val entriesOfTarget = IntArray(targets.size)
+
+    fun assign(): Map<VmId, List<TargetId>> {
+        takeInHashOrder { entry, target ->
+            entries[entry].dataCentre == targets[target].dataCentre
+        }
+        takeInHashOrder { entry, target ->
+            entries[entry].dataCentre != targets[target].dataCentre
+        }
+        entries.indices.forEach(::fillFromLeastUsed)
+        return entries.indices.associate { entry ->
+            entries[entry].vm to chosen[entry].map { targets[it].target }
+        }
+    }
+
+    private fun takeInHashOrder(belongs: (entry: Int, target: Int) -> Boolean) {
+        val open = entries.indices.filter { chosen[it].size < size }
+        if (open.isEmpty()) return
+        val pairs = open.flatMap { entry ->
+            targets.indices.filter { belongs(entry, it) }.map { target ->
+                Pair(entry, target, RendezvousHash.score(entryHashes[entry], targetHashes[target]))
+            }
+        }
+        for (pair in pairs.sortedBy { it.score }) {
+            val full = chosen[pair.entry].size >= size || entriesOfTarget[pair.target] >= highest
+            if (!full) take(pair.entry, pair.target)
+        }
+    }
+
+    /** The last entries can find too few targets below the limit; they go above it. */
+    private fun fillFromLeastUsed(entry: Int) {
+        while (chosen[entry].size < size) {
+            val target = targets.indices.filter { it !in chosen[entry] }.minWith(
+                compareBy(
+                    { entriesOfTarget[it] },
+                    { RendezvousHash.score(entryHashes[entry], targetHashes[it]) },
+                ),
+            )
+            take(entry, target)
+        }
+    }
+
+    private fun take(entry: Int, target: Int) {
+        chosen[entry] += target
+        entriesOfTarget[target]++
+    }
+
+    private class Pair(val entry: Int, val target: Int, val score: Long)
+
+    private companion object {
+        // Keeps a mean that is a whole number from being rounded up to the next one.
+        const val ROUNDING = 1e-9
+    }
+}
