--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/admission/FairQueue.kt
@@ -0,0 +1,146 @@
+package org.vanilladale.core.admission
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.WorkspaceId
+
+/**
+ * A request that waits at an agent.
+ *
+ * @property key identifies the request in this queue
+ * @property priority from 0 (lowest) to 9 (highest)
+ */
+public data class QueuedRequest<K : Any>(
+    val key: K,
+    val workspace: WorkspaceId,
+    val priority: Int,
+    val deadline: Deadline,
+)
+
+/**
+ * What the queue hands out.
+ *
+ * @property next the request to run now; null when none is left
+ * @property shed requests that were dropped because they would miss their deadlines
+ */
+public data class Polled<K : Any>(val next: QueuedRequest<K>?, val shed: List<QueuedRequest<K>>)
+
+/**
+ * The bounded queue of an agent. Keep it under a lock.
+ *
+ * The highest priority goes first, but a priority that waits is passed over at most
+ * [maximumPassedOver] times in a row plus once for each other priority that has waited as long.
+ * Within a priority the workspaces take turns. When the queue is full, the workspace with the
+ * longest queue loses its newest request, which is the offered one if its workspace is the longest.
+ */
+public class FairQueue<K : Any>(
+    private val capacity: Int,
+    private val maximumPassedOver: Int = DEFAULT_MAXIMUM_PASSED_OVER,
+) {
+    private class Level<K : Any> {
+        // The first workspace is the next one in turn.
+        val byWorkspace = LinkedHashMap<WorkspaceId, ArrayDeque<QueuedRequest<K>>>()
+        var passedOver = 0
+    }
+
+    private val levels = List(PRIORITIES) { Level<K>() }
+    private val byKey = LinkedHashMap<K, QueuedRequest<K>>()
+    private val lengths = HashMap<WorkspaceId, Int>()
+
+    init {
+        require(capacity >= 0) { "The queue capacity must not be negative; found $capacity" }
+    }
+
+    /** Requests that wait. */
+    public val size: Int get() = byKey.size
+
+    /** Returns the waiting requests of [workspace]. */
+    public fun sizeOf(workspace: WorkspaceId): Int = lengths[workspace] ?: 0
+
+    /**
+     * Queues [request].
+     *
+     * @return the request that lost its place, null when there was space, or the refusal
+     * `target-overloaded` of [request] itself
+     * @throws IllegalArgumentException if the key waits already or the priority is out of range
+     */
+    public fun offer(request: QueuedRequest<K>): Either<Refusal, QueuedRequest<K>?> {
+        require(request.key !in byKey) { "Request ${request.key} waits already; remove it first" }
+        require(request.priority in levels.indices) { "Priority ${request.priority} is not 0 to 9" }
+        var displaced: QueuedRequest<K>? = null
+        if (size >= capacity) {
+            val longest = lengths.maxByOrNull { it.value }
+            if (longest == null || sizeOf(request.workspace) + 1 >= longest.value) {
+                return Refusal(
+                    RefusalReason.TARGET_OVERLOADED,
+                    detail = "$size requests wait",
+                ).left()
+            }
+            displaced = byKey.values.last { it.workspace == longest.key }
+            remove(displaced.key)
+        }
+        levels[request.priority].byWorkspace.getOrPut(request.workspace) { ArrayDeque(1) } +=
+            request
+        byKey[request.key] = request
+        lengths.merge(request.workspace, 1, Int::plus)
+        return displaced.right()
+    }
+
+    /** Takes the request [key] out, as after a cancel; null when it does not wait. */
+    public fun remove(key: K): QueuedRequest<K>? {
+        val request = byKey.remove(key) ?: return null
+        val byWorkspace = levels[request.priority].byWorkspace
+        val waiting = byWorkspace.getValue(request.workspace)
+        waiting.removeAt(waiting.indexOfLast { it.key == key })
+        if (waiting.isEmpty()) byWorkspace.remove(request.workspace)
+        lengths.computeIfPresent(request.workspace) { _, length -> (length - 1).takeIf { it > 0 } }
+        return request
+    }
+
+    /** Takes out the next request that can still meet its deadline in [neededMilliseconds]. */
+    public fun poll(now: Timestamp, neededMilliseconds: Long = 0): Polled<K> {
+        val shed = ArrayList<QueuedRequest<K>>(0)
+        while (true) {
+            val level = nextLevel() ?: return Polled(null, shed)
+            val request = takeFirst(level)
+            if (request.deadline.millisecondsLeft(now) > neededMilliseconds) {
+                countPassedOver(level)
+                return Polled(request, shed)
+            }
+            shed += request
+        }
+    }
+
+    private fun nextLevel(): Level<K>? {
+        val waiting = levels.asReversed().filter { it.byWorkspace.isNotEmpty() }
+        return waiting.filter { it.passedOver >= maximumPassedOver }.maxByOrNull { it.passedOver }
+            ?: waiting.firstOrNull()
+    }
+
+    private fun takeFirst(level: Level<K>): QueuedRequest<K> {
+        val (workspace, waiting) = level.byWorkspace.entries.first()
+        level.byWorkspace.remove(workspace)
+        val request = waiting.removeFirst()
+        if (waiting.isNotEmpty()) level.byWorkspace[workspace] = waiting
+        byKey.remove(request.key)
+        lengths.computeIfPresent(workspace) { _, length -> (length - 1).takeIf { it > 0 } }
+        return request
+    }
+
+    private fun countPassedOver(taken: Level<K>) {
+        for (level in levels) {
+            level.passedOver =
+                if (level === taken || level.byWorkspace.isEmpty()) 0 else level.passedOver + 1
+        }
+    }
+
+    private companion object {
+        const val PRIORITIES = 10
+        const val DEFAULT_MAXIMUM_PASSED_OVER = 8
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/admission/WorkspaceLimit.kt
@@ -0,0 +1,80 @@
+package org.vanilladale.core.admission
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.RouteName
+import org.vanilladale.schema.WorkspaceId
+
+/**
+ * Requests in flight per workspace and route at one entry. Keep it under a lock.
+ *
+ * While all fit into [capacity], only the limit of the route applies. Beyond it a workspace gets
+ * another request only up to its max-min fair share of [capacity]. A workspace under its share is
+ * admitted although the capacity is used up, so a large one that came first cannot starve it; the
+ * total stays under twice [capacity] plus one request for each workspace.
+ */
+public class WorkspaceLimit(private val capacity: Int) {
+    private class Row {
+        var total = 0
+        val byRoute = HashMap<RouteName, Int>(2)
+    }
+
+    private val rows = HashMap<WorkspaceId, Row>()
+
+    /** Requests in flight of all workspaces. */
+    public var inFlight: Int = 0
+        private set
+
+    /** Number of workspaces with requests in flight. */
+    public val workspaces: Int get() = rows.size
+
+    /** Admits and counts a request, or refuses with `workspace-limit`. */
+    public fun admit(
+        workspace: WorkspaceId,
+        route: RouteName,
+        maximumOfRoute: Int,
+    ): Either<Refusal, Unit> {
+        val row = rows[workspace]
+        val ofRoute = row?.byRoute?.get(route) ?: 0
+        if (ofRoute >= maximumOfRoute) {
+            return Refusal(
+                RefusalReason.WORKSPACE_LIMIT,
+                detail = "$ofRoute of $maximumOfRoute requests of the route are in flight",
+            ).left()
+        }
+        val wanted = (row?.total ?: 0) + 1
+        if (inFlight >= capacity && wanted > 1 && !fitsFairShare(workspace, wanted)) {
+            return Refusal(
+                RefusalReason.WORKSPACE_LIMIT,
+                detail = "the entry is full and the workspace has its share of ${wanted - 1}",
+            ).left()
+        }
+        val counted = rows.getOrPut(workspace) { Row() }
+        counted.total++
+        counted.byRoute[route] = ofRoute + 1
+        inFlight++
+        return Unit.right()
+    }
+
+    /** Uncounts a request that was admitted and has ended in any way. */
+    public fun ended(workspace: WorkspaceId, route: RouteName) {
+        val row = rows[workspace] ?: return
+        val ofRoute = row.byRoute[route] ?: return
+        if (ofRoute == 1) row.byRoute.remove(route) else row.byRoute[route] = ofRoute - 1
+        row.total--
+        inFlight--
+        if (row.total == 0) rows.remove(workspace)
+    }
+
+    /** The max-min fair level is at least [wanted] exactly if all fit when each is cut to it. */
+    private fun fitsFairShare(workspace: WorkspaceId, wanted: Int): Boolean {
+        var needed = wanted.toLong()
+        for ((other, row) in rows) {
+            if (other != workspace) needed += minOf(row.total, wanted)
+        }
+        return needed <= capacity
+    }
+}
