--- a/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
@@ -1,6 +1,15 @@
 package org.vanilladale.bench
 
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.NoOpCliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+private fun commands(): List<CliktCommand> = listOf()
+
 /** Starts the program. */
-public fun main() {
-    println("not available yet")
+public fun main(arguments: Array<String>) {
+    // Plots are drawn on machines without a display.
+    System.setProperty("java.awt.headless", "true")
+    NoOpCliktCommand(name = "vanilladale-bench").subcommands(commands()).main(arguments)
 }
