Add expert placement decisions to core

Ruled out: a new assignment for each decision; it loads most experts again each time. A move budget that resets at period ends; two periods' moves could be spent back to back. Conclusion: defaults are provisional until the experiment has run.

--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
@@ -0,0 +1,27 @@
+package org.vanilladale.core.placement
+
+/**
+ * Limits of the planner.
+ *
+ * @property tolerance excess of the predicted skew over 1 that needs no change
+ * @property hysteresis least drop of the predicted skew that justifies a change
+ * @property skewOfMove skew that one moved expert weighs as much as, at equal weights
+ * @property movesPerProposal moved experts of one change at most
+ * @property coolDownMilliseconds time between two changes
+ * @property periodMilliseconds period of the move budget; a removed copy stays away as long
+ * @property allowSwaps whether two copies may change places
+ * @property allowReplicas whether an expert may have several copies
+ */
+public data class PlacementOptions(
+    val tolerance: Double = 0.02,
+    val hysteresis: Double = 0.02,
+    val skewOfMove: Double = 0.002,
+    val movesPerProposal: Int = 16,
+    val coolDownMilliseconds: Long = 120_000,
+    val periodMilliseconds: Long = 1_800_000,
+    val allowSwaps: Boolean = true,
+    val allowReplicas: Boolean = true,
+) {
+    /** Returns the unused move budget of a layer with [expertCount] experts. */
+    public fun budgetFor(expertCount: Int): MoveBudget = MoveBudget.of(expertCount / 2)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/RankSpeed.kt
@@ -0,0 +1,65 @@
+package org.vanilladale.core.placement
+
+import kotlin.math.abs
+import kotlin.math.exp
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Timestamp
+
+private const val LOWEST_SPEED = 0.05
+private const val SLOWEST_LOAD_SHARE = 1e-6
+
+/**
+ * Relative speed of each rank, from its load and step time; 1 is the group's median.
+ *
+ * Speeds within the dead band around 1 count as 1, so that noise moves no expert. Immutable.
+ */
+public class RankSpeed private constructor(
+    private val speeds: DoubleArray,
+    private val observedAt: Timestamp?,
+    private val options: RankSpeedOptions,
+) {
+    public val rankCount: Int get() = speeds.size
+
+    /** Returns the speed of [rank] to plan with. */
+    public fun speedOf(rank: Rank): Double {
+        val speed = speeds[rank.value]
+        return if (abs(speed - 1) <= options.deadBand) 1.0 else speed
+    }
+
+    /**
+     * Takes in one report up to [at]: the [loads] of the ranks, as shares of the tokens, and their
+     * mean step times in [milliseconds], both by rank.
+     *
+     * A rank without load can't be measured: its speed returns to 1 with the time scale. Reports
+     * that are older than the last one or of another size change nothing.
+     */
+    public fun observe(loads: List<Double>, milliseconds: List<Double>, at: Timestamp): RankSpeed {
+        val elapsed = observedAt?.let { at.millisecondsSince(it) }
+        val sized = loads.size == rankCount && milliseconds.size == rankCount
+        if (!sized || (elapsed != null && elapsed <= 0)) return this
+        val rates = List(rankCount) { rank ->
+            val measured = loads[rank] > SLOWEST_LOAD_SHARE && milliseconds[rank] > 0
+            if (measured) loads[rank] / milliseconds[rank] else null
+        }
+        val sorted = rates.filterNotNull().sorted()
+        if (sorted.isEmpty()) return this
+        val median = sorted[sorted.size / 2]
+        val kept = elapsed?.let { exp(-it.toDouble() / options.scaleMilliseconds) } ?: 0.0
+        val smoothed = DoubleArray(rankCount) { rank ->
+            val speed = (rates[rank] ?: median) / median
+            (speeds[rank] * kept + speed * (1 - kept)).coerceAtLeast(LOWEST_SPEED)
+        }
+        return RankSpeed(smoothed, at, options)
+    }
+
+    public companion object {
+        /** Returns speed 1 for [rankCount] ranks before any report. */
+        public fun even(
+            rankCount: Int,
+            options: RankSpeedOptions = RankSpeedOptions(),
+        ): RankSpeed {
+            require(rankCount > 0) { "rankCount must be positive; found $rankCount" }
+            return RankSpeed(DoubleArray(rankCount) { 1.0 }, null, options)
+        }
+    }
+}
