Route by affinity and load, retry within budgets and queue fairly at agents

Cause: the thin path sent each request to the least used target once and without a queue. Change: the entry chooses targets, retries and hedges with the decisions in core and checks each answer with the assembler; the agent hands out slots with the fair queue, refuses requests that would miss their deadline and reports its load. Before: no retry, no refusal by deadline.

--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -1,6 +1,7 @@
 package org.vanilladale.agent
 
 import io.vertx.core.Vertx
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -41,7 +42,9 @@
         ConnectionTiming(settings.heartbeatMilliseconds, settings.silenceMilliseconds),
         ::systemNow,
     )
-    private val runner = AttemptRunner(targetCaller(), settings.slots, ::systemNow)
+    private val slots = SlotQueue(settings.slots, settings.queue, ::systemNow)
+    private val runner = AttemptRunner(targetCaller(), slots, ::systemNow)
+    private val nextSession = AtomicLong()
 
     /** Listens for entries and operators. */
     public suspend fun start() {
@@ -60,8 +63,8 @@
     }
 
     private suspend fun serve(connection: PeerConnection) {
-        val session = EntrySession(scope, connection, runner)
-        val reason = connection.run({ Heartbeat(systemNow()) }) { frame ->
+        val session = EntrySession(scope, nextSession.getAndIncrement(), connection, runner)
+        val reason = connection.run({ Heartbeat(systemNow(), load = slots.load()) }) { frame ->
             if (!session.onFrame(frame)) counters.event("frame-unexpected")
         }
         session.end()
--- a/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
@@ -2,9 +2,8 @@
 
 import java.security.MessageDigest
 import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.sync.Semaphore
-import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeout
+import org.vanilladale.core.admission.QueuedRequest
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.schema.Answer
@@ -19,16 +18,15 @@
 /** Runs attempts at this agent's target and sends the answer frames. */
 internal class AttemptRunner(
     private val caller: TargetCaller,
-    slots: Int,
+    private val slots: SlotQueue,
     private val clock: () -> Timestamp,
 ) {
-    private val slotPermits = Semaphore(slots)
-
     /** Runs [submit] to its end and passes each frame of the answer to [send]. */
-    suspend fun run(submit: Submit, send: suspend (Frame) -> Unit) {
+    suspend fun run(id: AttemptId, submit: Submit, send: suspend (Frame) -> Unit) {
         val refusal = try {
             withTimeout(submit.deadline.millisecondsLeft(clock())) {
-                slotPermits.withPermit { callTarget(submit, send) }
+                slots.withSlot(queued(id, submit)) { callTarget(submit, send) }
+                    .fold({ it }, { it })
             }
         } catch (_: TimeoutCancellationException) {
             Refusal(RefusalReason.DEADLINE_PASSED)
@@ -53,7 +51,8 @@
         }
         if (outcome == TargetOutcome.Completed) {
             val hexadecimal = digest.digest().joinToString("") { "%02x".format(it) }
-            send(AnswerEnd(submit.request, submit.attempt, position, Digest.parse(hexadecimal)))
+            val whole = Digest.parse(hexadecimal)
+            send(AnswerEnd(submit.request, submit.attempt, position, whole, slots.load()))
         }
         return refusalOf(outcome)
     }
@@ -75,5 +74,13 @@
         refusal.reason.code,
         refusal.run,
         refusal.retryAt,
+        slots.load(),
+    )
+
+    private fun queued(id: AttemptId, submit: Submit) = QueuedRequest(
+        id,
+        submit.workspace,
+        submit.priority,
+        submit.deadline,
     )
 }
--- a/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
@@ -2,23 +2,21 @@
 
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
-import org.vanilladale.schema.Attempt
 import org.vanilladale.schema.Cancel
 import org.vanilladale.schema.Frame
-import org.vanilladale.schema.RequestId
 import org.vanilladale.schema.Submit
 import org.vanilladale.transport.PeerConnection
 
 /** Serves the attempts that come over one connection from an entry. */
 internal class EntrySession(
     private val scope: CoroutineScope,
+    private val number: Long,
     private val connection: PeerConnection,
     private val runner: AttemptRunner,
 ) {
-    private data class AttemptId(val request: RequestId, val attempt: Attempt)
-
     private val attempts = ConcurrentHashMap<AttemptId, Job>()
 
     /** Handles one frame; returns false for a type that this session does not know. */
@@ -29,7 +27,7 @@
         }
 
         is Cancel -> {
-            attempts[AttemptId(frame.request, frame.attempt)]?.cancel()
+            attempts[AttemptId(number, frame.request, frame.attempt)]?.cancel()
             true
         }
 
@@ -42,9 +40,12 @@
     }
 
     private fun start(submit: Submit) {
-        val id = AttemptId(submit.request, submit.attempt)
-        val job = scope.launch { runner.run(submit) { connection.send(it) } }
-        attempts[id] = job
+        val id = AttemptId(number, submit.request, submit.attempt)
+        val job = scope.launch(start = CoroutineStart.LAZY) {
+            runner.run(id, submit) { connection.send(it) }
+        }
+        if (attempts.putIfAbsent(id, job) != null) return
         job.invokeOnCompletion { attempts.remove(id, job) }
+        job.start()
     }
 }
--- a/entry/src/main/kotlin/org/vanilladale/entry/AgentLink.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AgentLink.kt
@@ -1,7 +1,6 @@
 package org.vanilladale.entry
 
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -29,10 +28,10 @@
     private val network: PeerNetwork,
     private val counters: SystemCounters,
     private val heartbeat: () -> Heartbeat,
+    private val onConnected: (PeerConnection?) -> Unit,
     private val onPeerFrame: suspend (PeerConnection, Frame) -> Unit,
 ) {
-    private val pending = ConcurrentHashMap<RequestId, Channel<AttemptEvent>>()
-    private val nextRequest = AtomicLong(1)
+    private val pending = ConcurrentHashMap<RequestId, Events>()
     private var job: Job? = null
 
     /** Open connection, or null while there is none. */
@@ -54,17 +53,16 @@
         connection?.close()
     }
 
-    /** Opens the event channel of a new attempt; [close] ends it. */
-    fun open(): OpenAttempt {
-        val request = RequestId(nextRequest.getAndIncrement())
-        val events = Channel<AttemptEvent>(EVENTS)
+    /** Opens the events of an attempt at [request]; [close] ends them. */
+    fun open(request: RequestId): Events {
+        val events = Events(connection)
         pending[request] = events
-        return OpenAttempt(request, events)
+        return events
     }
 
-    /** Forgets [attempt]; later frames for it are dropped and counted. */
-    fun close(attempt: OpenAttempt) {
-        pending.remove(attempt.request)
+    /** Forgets the events; later frames for them are dropped and counted. */
+    fun close(request: RequestId, events: Events) {
+        pending.remove(request, events)
     }
 
     private suspend fun connectOnce() {
@@ -88,6 +86,7 @@
             return
         }
         connection = opened
+        onConnected(opened)
         val reason = opened.run(heartbeat) { frame -> dispatch(opened, frame) }
         connection = null
         counters.event("connection-${reason.code}")
@@ -96,7 +95,8 @@
         } else {
             RetryReason.CONNECTION_LOST
         }
-        pending.values.forEach { it.trySend(AttemptEvent.Lost(retryReason)) }
+        onConnected(null)
+        pending.values.filter { it.connection === opened }.forEach { it.lost(retryReason) }
     }
 
     private suspend fun dispatch(opened: PeerConnection, frame: Frame) {
@@ -110,15 +110,34 @@
         val events = pending[request]
         if (events == null) {
             counters.event("frame-without-attempt")
-        } else if (events.trySend(AttemptEvent.Received(frame)).isFailure) {
+        } else if (!events.received(frame)) {
             // A caller that reads too slowly loses its stream instead of stopping all others.
             counters.event("attempt-buffer-full")
-            events.close()
         }
     }
 
-    /** Events of one attempt. */
-    class OpenAttempt(val request: RequestId, val events: Channel<AttemptEvent>)
+    /**
+     * Events of one attempt.
+     *
+     * @property connection connection that the attempt uses; the loss of another one is not its own
+     */
+    class Events(val connection: PeerConnection?) {
+        private val channel = Channel<AttemptEvent>(EVENTS)
+
+        /** Returns the next event, or null when the caller read too slowly. */
+        suspend fun receiveOrNull(): AttemptEvent? = channel.receiveCatching().getOrNull()
+
+        fun received(frame: Frame): Boolean {
+            val stored = channel.trySend(AttemptEvent.Received(frame)).isSuccess
+            if (!stored) channel.close()
+            return stored
+        }
+
+        fun lost(reason: RetryReason) {
+            channel.trySend(AttemptEvent.Lost(reason))
+            channel.close()
+        }
+    }
 
     private companion object {
         const val REDIAL_MILLISECONDS = 200L
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -22,14 +22,18 @@
 import org.vanilladale.schema.EntryAddress
 import org.vanilladale.schema.EntryList
 import org.vanilladale.schema.EntrySettings
+import org.vanilladale.schema.Frame
 import org.vanilladale.schema.Heartbeat
 import org.vanilladale.schema.Incarnation
 import org.vanilladale.schema.Pool
+import org.vanilladale.schema.PoolTarget
 import org.vanilladale.schema.Role
 import org.vanilladale.schema.Route
 import org.vanilladale.schema.Tables
+import org.vanilladale.schema.TargetId
 import org.vanilladale.transport.ConnectionTiming
 import org.vanilladale.transport.LocalIdentity
+import org.vanilladale.transport.PeerConnection
 import org.vanilladale.transport.PeerIdentity
 import org.vanilladale.transport.PeerNetwork
 
@@ -54,10 +58,20 @@
         ConnectionTiming(settings.heartbeatMilliseconds, settings.silenceMilliseconds),
         ::systemNow,
     )
-    private val links = AgentLinks(scope) { target ->
-        AgentLink(target, network, counters, { Heartbeat(systemNow()) }) { _, _ -> }
+    private val fleet = TargetFleet(settings)
+    private val router = TargetRouter(::systemNow, Random.Default) { pool ->
+        fleet.targetsOf(pool).filter { links.linkOrNull(it)?.connection != null }
     }
-    private val runner = RequestRunner(configuration, links, counters, ::systemNow)
+    private val links: AgentLinks = AgentLinks(scope, ::createLink)
+    private val runner = RequestRunner(
+        configuration,
+        links,
+        router,
+        counters,
+        AttemptTiming(settings.firstAnswerMilliseconds, settings.progressMilliseconds),
+        settings.capacity,
+        ::systemNow,
+    )
 
     /** Listens for callers and operators and follows the configuration. */
     public suspend fun start() {
@@ -94,10 +108,35 @@
 
     private fun putInForce(tables: JoinedTables) {
         if (!configuration.offer(tables)) return
-        links.use(tables.tables.pools.flatMap { it.targets }.distinctBy { it.target })
+        links.use(fleet.use(tables))
         Logger.info { "configuration: revision ${tables.revision} in force" }
     }
 
+    private fun createLink(target: PoolTarget) = AgentLink(
+        target,
+        network,
+        counters,
+        { Heartbeat(systemNow()) },
+        { connection -> onConnected(target.target, connection) },
+        { _, frame -> onAgentFrame(target.target, frame) },
+    )
+
+    private fun onConnected(target: TargetId, connection: PeerConnection?) {
+        if (connection == null) return
+        val restarted = fleet.sawIncarnation(target, connection.remote.incarnation)
+        if (restarted) fleet.poolsOf(target).forEach { router.forget(it, target) }
+    }
+
+    private fun onAgentFrame(target: TargetId, frame: Frame) {
+        when (frame) {
+            is Heartbeat -> frame.load?.let { load ->
+                fleet.poolsOf(target).forEach { router.reported(it, target, load) }
+            }
+
+            else -> counters.event("frame-unexpected")
+        }
+    }
+
     private fun entryList() = EntryList(
         listOf(EntryAddress(settings.callerAddress, settings.dataCentre)),
         systemNow().deadlineAfter(settings.keepEntriesMilliseconds),
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/PoolRouting.kt
@@ -0,0 +1,37 @@
+package org.vanilladale.entry
+
+import kotlin.random.Random
+import org.vanilladale.core.retry.RetryBudget
+import org.vanilladale.core.routing.PrefixAffinity
+import org.vanilladale.core.routing.TargetChoice
+import org.vanilladale.core.routing.TargetLoadView
+import org.vanilladale.core.routing.affinityWithBoundedLoad
+import org.vanilladale.schema.RouteName
+import org.vanilladale.schema.Timestamp
+
+/** What this entry knows for the routing of one pool; kept in a shard under its lock. */
+internal class PoolRouting(random: Random) {
+    val view = TargetLoadView()
+    val affinity = PrefixAffinity()
+    val choice = TargetChoice(view, affinityWithBoundedLoad(view, affinity, random))
+    private val retryBudgets = HashMap<RouteName, Budget>()
+    private val hedgeBudgets = HashMap<RouteName, Budget>()
+
+    fun retryBudget(route: RouteName, percent: Int, now: Timestamp): RetryBudget =
+        retryBudgets.current(route, percent, now)
+
+    fun hedgeBudget(route: RouteName, percent: Int, now: Timestamp): RetryBudget =
+        hedgeBudgets.current(route, percent, now)
+
+    private class Budget(val percent: Int, val budget: RetryBudget)
+
+    /** An edit of the route's percentage takes effect with a new budget. */
+    private fun HashMap<RouteName, Budget>.current(
+        route: RouteName,
+        percent: Int,
+        now: Timestamp,
+    ): RetryBudget {
+        val held = get(route)?.takeIf { it.percent == percent }
+        return (held ?: Budget(percent, RetryBudget(percent, now)).also { put(route, it) }).budget
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestPlan.kt
@@ -0,0 +1,13 @@
+package org.vanilladale.entry
+
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Pool
+import org.vanilladale.schema.Route
+
+/** What the tables say about one request, with its deadline. */
+internal data class RequestPlan(
+    val request: CallerRequest,
+    val route: Route,
+    val pool: Pool,
+    val deadline: Deadline,
+)
--- a/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
@@ -1,148 +1,135 @@
 package org.vanilladale.entry
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.raise.either
+import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import arrow.core.right
-import kotlinx.coroutines.withTimeoutOrNull
-import org.vanilladale.core.configuration.JoinedTables
+import java.util.concurrent.atomic.AtomicLong
+import org.vanilladale.core.admission.WorkspaceLimit
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.core.refusal.RetryReason
+import org.vanilladale.core.retry.AttemptFailure
+import org.vanilladale.core.stream.AnswerAssembler
 import org.vanilladale.runtime.ConfigurationHolder
 import org.vanilladale.runtime.SystemCounters
-import org.vanilladale.schema.Answer
-import org.vanilladale.schema.AnswerEnd
-import org.vanilladale.schema.AnswerLine
-import org.vanilladale.schema.Attempt
-import org.vanilladale.schema.Cancel
-import org.vanilladale.schema.Deadline
-import org.vanilladale.schema.Pool
-import org.vanilladale.schema.Refused
-import org.vanilladale.schema.Route
-import org.vanilladale.schema.Submit
+import org.vanilladale.schema.PoolType
+import org.vanilladale.schema.RequestId
+import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.Timestamp
 
 /** Takes one request from its route to its whole answer. */
 internal class RequestRunner(
     private val configuration: ConfigurationHolder,
     private val links: AgentLinks,
+    private val router: TargetRouter,
     private val counters: SystemCounters,
+    private val timing: AttemptTiming,
+    capacity: Int,
     private val clock: () -> Timestamp,
 ) {
+    private val nextRequest = AtomicLong(1)
+    private val workspaceLimit = WorkspaceLimit(capacity)
+    private val hedgedLookup = HedgedLookup(router, counters, clock)
+
+    /** Requests that this entry works on. */
+    val inFlight: Int get() = synchronized(workspaceLimit) { workspaceLimit.inFlight }
+
     /** Runs [request] and writes its answer to [sink]; returns the refusal if there is none. */
     suspend fun run(request: CallerRequest, sink: AnswerSink): Refusal? = either {
+        val plan = plan(request).bind()
+        admit(plan).bind()
+        try {
+            serve(plan, sink).bind()
+        } finally {
+            synchronized(workspaceLimit) {
+                workspaceLimit.ended(request.head.workspace, plan.route.name)
+            }
+        }
+        counters.answered(plan.route.kind.text)
+    }.leftOrNull()
+
+    /** Finds route, pool and deadline of [request]. */
+    fun plan(request: CallerRequest): Either<Refusal, RequestPlan> = either {
         val tables = ensureNotNull(configuration.current) {
             Refusal(RefusalReason.NO_CONFIGURATION)
         }
         val route = ensureNotNull(tables.routeOrNull(request.head.kind)) {
             Refusal(RefusalReason.NO_ROUTE, detail = "kind '${request.head.kind}' has no route")
         }
-        val deadline = deadlineOf(request, route)
-        val link = ensureNotNull(chooseLink(tables.poolOf(route))) {
-            Refusal(RefusalReason.NO_TARGET, detail = "pool '${route.pool}' has no live target")
-        }
-        attempt(request, route, deadline, link, sink).bind()
-        counters.answered(route.kind.text)
-    }.leftOrNull()
-
-    private fun deadlineOf(request: CallerRequest, route: Route): Deadline {
-        val latest = clock().deadlineAfter(route.deadlineMilliseconds)
-        return minOf(request.head.deadline ?: latest, latest)
+        val now = clock()
+        val latest = now.deadlineAfter(route.deadlineMilliseconds)
+        val deadline = minOf(request.head.deadline ?: latest, latest)
+        ensure(!deadline.hasPassed(now)) { Refusal(RefusalReason.DEADLINE_TOO_SHORT) }
+        RequestPlan(request, route, tables.poolOf(route), deadline)
     }
 
-    private fun chooseLink(pool: Pool): AgentLink? =
-        pool.targets.mapNotNull { links.linkOrNull(it.target) }
-            .filter { it.connection != null }
-            .minByOrNull { it.inFlight }
+    private fun admit(plan: RequestPlan): Either<Refusal, Unit> = synchronized(workspaceLimit) {
+        val workspace = plan.request.head.workspace
+        val route = plan.route
+        workspaceLimit.admit(workspace, route.name, route.maximumInFlightPerWorkspace)
+    }
 
-    private suspend fun attempt(
-        request: CallerRequest,
-        route: Route,
-        deadline: Deadline,
-        link: AgentLink,
-        sink: AnswerSink,
-    ): Either<Refusal, Unit> {
-        val open = link.open()
-        var ended = false
-        try {
-            val submit = submit(request, route, deadline, open)
-            if (link.connection?.send(submit) != true) {
-                return Refusal(RefusalReason.NO_TARGET).left()
-            }
-            val result = withTimeoutOrNull(deadline.millisecondsLeft(clock())) {
-                relay(open, link, sink)
-            }
-            ended = result != null
-            return result ?: Refusal(RefusalReason.DEADLINE_PASSED).left()
-        } finally {
-            link.close(open)
-            if (!ended) {
-                val head = request.head
-                link.connection?.trySend(Cancel(open.request, FIRST, head.workspace, head.key))
-            }
+    private suspend fun serve(plan: RequestPlan, sink: AnswerSink): Either<Refusal, Unit> {
+        val request = RequestId(nextRequest.getAndIncrement())
+        val first = router.chooseFirst(plan).getOrElse { return it.left() }
+        return if (plan.pool.type == PoolType.SERVICE && plan.route.hedgeBudgetPercent > 0) {
+            hedgedLookup.run(plan, first, sink) { call(plan, request, it) }
+        } else {
+            attemptUntilDone(plan, request, first, sink)
         }
     }
 
-    private suspend fun relay(
-        open: AgentLink.OpenAttempt,
-        link: AgentLink,
+    private suspend fun attemptUntilDone(
+        plan: RequestPlan,
+        request: RequestId,
+        first: TargetId,
         sink: AnswerSink,
     ): Either<Refusal, Unit> {
-        for (event in open.events) {
-            when (event) {
-                is AttemptEvent.Lost -> return Refusal(RefusalReason.ANSWER_INTERRUPTED).left()
-
-                is AttemptEvent.Received -> when (val frame = event.frame) {
-                    is Answer ->
-                        sink.write(AnswerLine(frame.offset, frame.text), link.target.target)
-
-                    is AnswerEnd -> {
-                        val line = AnswerLine(
-                            end = true,
-                            length = frame.length,
-                            digest = frame.digest.text,
-                        )
-                        sink.write(line, link.target.target)
-                        return Unit.right()
-                    }
-
-                    is Refused -> return refusalOf(frame).left()
-
-                    else -> counters.event("frame-unexpected")
-                }
+        val assembler = AnswerAssembler(request, plan.request.head.offset)
+        val tried = mutableSetOf(first)
+        var target = first
+        while (true) {
+            val failure = when (val result = attempt(plan, request, target, assembler, sink)) {
+                AttemptResult.Complete -> return Unit.right()
+                is AttemptResult.Failed -> result.failure
             }
+            val retry = router.decideRetry(plan, failure, tried)
+                .getOrElse { return interrupted(it, sink).left() }
+            counters.retried(retry.reason)
+            tried += retry.target
+            target = retry.target
         }
-        return Refusal(RefusalReason.ANSWER_INTERRUPTED).left()
     }
 
-    private fun refusalOf(frame: Refused): Refusal {
-        val reason = RefusalReason.fromCodeOrNull(frame.reason) ?: RefusalReason.TARGET_FAILED
-        return Refusal(reason, frame.run, retryAt = frame.retryAt)
+    private suspend fun attempt(
+        plan: RequestPlan,
+        request: RequestId,
+        target: TargetId,
+        assembler: AnswerAssembler,
+        sink: AnswerSink,
+    ): AttemptResult = try {
+        call(plan, request, target)?.run(assembler) { sink.write(it, target) }
+            ?: AttemptResult.Failed(AttemptFailure.fromRetryReason(RetryReason.CONNECT_FAILED))
+    } finally {
+        router.finished(plan.pool.name, target)
     }
 
-    private fun submit(
-        request: CallerRequest,
-        route: Route,
-        deadline: Deadline,
-        open: AgentLink.OpenAttempt,
-    ) = Submit(
-        request = open.request,
-        attempt = FIRST,
-        workspace = request.head.workspace,
-        key = request.head.key,
-        kind = request.head.kind,
-        path = route.path,
-        idempotent = route.idempotent,
-        priority = route.priority,
-        deadline = deadline,
-        offset = request.head.offset,
-        body = request.body,
-        prefix = request.head.prefix,
-        contentType = request.contentType,
-    )
+    private fun call(plan: RequestPlan, request: RequestId, target: TargetId): AttemptCall? =
+        links.linkOrNull(target)?.let { link ->
+            AttemptCall(plan, request, link, timing, counters, clock) { reporter, load ->
+                router.reported(plan.pool.name, reporter, load)
+            }
+        }
 
-    private companion object {
-        val FIRST = Attempt(1)
-    }
+    /** After the first line the caller holds a part and can resume; before it can't. */
+    private fun interrupted(refusal: Refusal, sink: AnswerSink): Refusal =
+        if (sink.started && refusal.reason == RefusalReason.TARGET_FAILED) {
+            refusal.copy(reason = RefusalReason.ANSWER_INTERRUPTED)
+        } else {
+            refusal
+        }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -0,0 +1,130 @@
+package org.vanilladale.entry
+
+import arrow.core.Either
+import arrow.core.raise.either
+import kotlin.random.Random
+import org.vanilladale.core.admission.DeadlineAdmission
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.retry.AttemptFailure
+import org.vanilladale.core.retry.HedgeDecision
+import org.vanilladale.core.retry.HedgedRequest
+import org.vanilladale.core.retry.RetriedRequest
+import org.vanilladale.core.retry.Retry
+import org.vanilladale.core.retry.RetryDecision
+import org.vanilladale.core.routing.ChoiceRequest
+import org.vanilladale.core.shard.Sharded
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Load
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.Timestamp
+
+/**
+ * Chooses targets and decides about retries and hedges with what this entry knows of each pool.
+ *
+ * @param connected targets of a pool's subset that have an open connection
+ */
+internal class TargetRouter(
+    private val clock: () -> Timestamp,
+    private val random: Random,
+    private val connected: (PoolName) -> List<TargetId>,
+) {
+    private val pools = Sharded<PoolName, HashMap<PoolName, PoolRouting>>(SHARDS) { HashMap() }
+
+    /** Chooses the target of the first attempt, or refuses at once when none can be in time. */
+    fun chooseFirst(plan: RequestPlan): Either<Refusal, TargetId> = withPool(plan.pool.name) {
+        val now = clock()
+        retryBudget(plan.route.name, plan.route.retryBudgetPercent, now).requested()
+        hedgeBudget(plan.route.name, plan.route.hedgeBudgetPercent, now).requested()
+        either {
+            val resumed = plan.request.head.resumeTarget
+                ?.takeIf { it in connected(plan.pool.name) }
+            val target = resumed ?: choose(plan, emptySet(), now).bind()
+            val report = view.reportOrNull(target, now)
+            if (report != null) DeadlineAdmission.admit(report, plan.deadline, now).bind()
+            view.started(target)
+            target
+        }
+    }
+
+    /** Decides whether a failed request goes to another target. */
+    fun decideRetry(
+        plan: RequestPlan,
+        failure: AttemptFailure,
+        tried: Set<TargetId>,
+    ): Either<Refusal, Retry> = withPool(plan.pool.name) {
+        val now = clock()
+        val budget = retryBudget(plan.route.name, plan.route.retryBudgetPercent, now)
+        val request = RetriedRequest(plan.route.idempotent, plan.deadline, tried)
+        RetryDecision.decide(failure, request, budget, now) { choose(plan, it, now) }
+            .onRight { view.started(it.target) }
+    }
+
+    /** Decides whether a look-up without an answer also goes to a second target. */
+    fun decideHedgeOrNull(plan: RequestPlan, hedgeAt: Deadline, tried: Set<TargetId>): Retry? =
+        withPool(plan.pool.name) {
+            val now = clock()
+            val budget = hedgeBudget(plan.route.name, plan.route.hedgeBudgetPercent, now)
+            val idempotent = plan.route.idempotent
+            val request = HedgedRequest(plan.pool.type, idempotent, hedgeAt, plan.deadline, tried)
+            HedgeDecision.decideOrNull(request, budget, now) { choose(plan, it, now) }
+                ?.also { view.started(it.target) }
+        }
+
+    /** Uncounts an attempt that ended in any way. */
+    fun finished(pool: PoolName, target: TargetId) {
+        withPool(pool) { view.finished(target) }
+    }
+
+    /** Takes a load report of [target]. */
+    fun reported(pool: PoolName, target: TargetId, load: Load) {
+        withPool(pool) { view.reported(target, load, clock()) }
+    }
+
+    /** Gives [target] no new work from [leavingAt] on. */
+    fun markLeaving(pool: PoolName, target: TargetId, leavingAt: Deadline) {
+        withPool(pool) { view.markLeaving(target, leavingAt) }
+    }
+
+    /** Gives [target] no new work until [until]. */
+    fun markUnavailable(pool: PoolName, target: TargetId, until: Deadline) {
+        withPool(pool) { view.markUnavailable(target, until) }
+    }
+
+    /** Prefers other targets over [target] until [until]. */
+    fun markSlow(pool: PoolName, target: TargetId, until: Deadline) {
+        withPool(pool) { view.markSlow(target, until) }
+    }
+
+    /** Drops what is known of [target], as after its restart. */
+    fun forget(pool: PoolName, target: TargetId) {
+        withPool(pool) {
+            view.forget(target)
+            affinity.forget(target)
+        }
+    }
+
+    /** Describes the state of each of [targets] for operators. */
+    fun describe(pool: PoolName, targets: List<TargetId>): Map<TargetId, String> = withPool(pool) {
+        val now = clock()
+        targets.associateWith { target ->
+            val load = "%.1f".format(java.util.Locale.ROOT, view.loadOf(target, now))
+            "${view.stateOf(target, now).name.lowercase()}, load $load"
+        }
+    }
+
+    private fun PoolRouting.choose(
+        plan: RequestPlan,
+        tried: Set<TargetId>,
+        now: Timestamp,
+    ): Either<Refusal, TargetId> = choice.choose(
+        ChoiceRequest(connected(plan.pool.name), now, plan.request.head.prefix, tried),
+    )
+
+    private fun <R> withPool(pool: PoolName, block: PoolRouting.() -> R): R =
+        pools.withShard(pool) { it.getOrPut(pool) { PoolRouting(random) }.block() }
+
+    private companion object {
+        const val SHARDS = 16
+    }
+}
