--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -1,6 +1,7 @@
 package org.vanilladale.agent
 
 import io.vertx.core.Vertx
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
@@ -9,6 +10,7 @@
 import kotlinx.coroutines.cancel
 import org.tinylog.kotlin.Logger
 import org.vanilladale.runtime.OperatorEndpoint
+import org.vanilladale.runtime.PlannedStop
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
 import org.vanilladale.schema.AgentSettings
@@ -45,6 +47,14 @@
     private val slots = SlotQueue(settings.slots, settings.queue, ::systemNow)
     private val runner = AttemptRunner(targetCaller(), slots, ::systemNow)
     private val nextSession = AtomicLong()
+    private val sessions = ConcurrentHashMap.newKeySet<EntrySession>()
+    private val plannedStop = PlannedStop(
+        settings.vm,
+        settings.drainMilliseconds,
+        ::systemNow,
+        { sessions.sumOf { it.inFlight } },
+        { leaving -> sessions.forEach { it.send(leaving) } },
+    )
 
     /** Listens for entries and operators. */
     public suspend fun start() {
@@ -55,6 +65,12 @@
         Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
     }
 
+    /** Takes no new work, waits for the attempts in flight and ends. */
+    public suspend fun leave() {
+        plannedStop.run()
+        stop()
+    }
+
     /** Ends at once. */
     public fun stop() {
         scope.cancel()
@@ -63,10 +79,19 @@
     }
 
     private suspend fun serve(connection: PeerConnection) {
-        val session = EntrySession(scope, nextSession.getAndIncrement(), connection, runner)
+        val session = EntrySession(
+            scope,
+            nextSession.getAndIncrement(),
+            connection,
+            runner,
+            plannedStop::refusesNewWork,
+        )
+        sessions += session
+        plannedStop.leavingOrNull?.let { session.send(it) }
         val reason = connection.run({ Heartbeat(systemNow(), load = slots.load()) }) { frame ->
             if (!session.onFrame(frame)) counters.event("frame-unexpected")
         }
+        sessions -= session
         session.end()
         counters.event("connection-${reason.code}")
     }
--- a/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
@@ -5,8 +5,10 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
+import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.schema.Cancel
 import org.vanilladale.schema.Frame
+import org.vanilladale.schema.Refused
 import org.vanilladale.schema.Submit
 import org.vanilladale.transport.PeerConnection
 
@@ -16,13 +18,22 @@
     private val number: Long,
     private val connection: PeerConnection,
     private val runner: AttemptRunner,
+    private val refusesNewWork: () -> Boolean,
 ) {
     private val attempts = ConcurrentHashMap<AttemptId, Job>()
 
+    /** Attempts that run or wait. */
+    val inFlight: Int get() = attempts.size
+
+    /** Sends [frame] unless the connection has ended. */
+    fun send(frame: Frame) {
+        connection.trySend(frame)
+    }
+
     /** Handles one frame; returns false for a type that this session does not know. */
     fun onFrame(frame: Frame): Boolean = when (frame) {
         is Submit -> {
-            start(frame)
+            if (refusesNewWork()) refuseLeaving(frame) else start(frame)
             true
         }
 
@@ -39,6 +50,12 @@
         attempts.values.forEach { it.cancel() }
     }
 
+    /** The agent decides itself, because an entry may not have heard that it leaves. */
+    private fun refuseLeaving(submit: Submit) {
+        val reason = RefusalReason.LEAVING
+        send(Refused(submit.request, submit.attempt, reason.code, reason.run))
+    }
+
     private fun start(submit: Submit) {
         val id = AttemptId(number, submit.request, submit.attempt)
         val job = scope.launch(start = CoroutineStart.LAZY) {
--- a/agent/src/main/kotlin/org/vanilladale/agent/Main.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Main.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.types.file
 import kotlinx.coroutines.runBlocking
 import org.vanilladale.core.settings.SettingsText
+import org.vanilladale.runtime.onTermination
 import org.vanilladale.schema.AgentSettings
 
 private class AgentCommand : CliktCommand("vanilladale-agent") {
@@ -24,7 +25,9 @@
         val parsed = SettingsText.parse(AgentSettings.serializer(), settings.readText())
             .fold({ throw CliktError(it.message) }, { it })
         if (check) return
-        runBlocking { Agent(parsed).start() }
+        val agent = Agent(parsed)
+        runBlocking { agent.start() }
+        onTermination(agent::leave)
     }
 }
 
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -13,18 +13,23 @@
 import kotlinx.serialization.builtins.ListSerializer
 import org.tinylog.kotlin.Logger
 import org.vanilladale.core.configuration.JoinedTables
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.core.settings.SettingsText
 import org.vanilladale.runtime.ConfigurationHolder
 import org.vanilladale.runtime.OperatorEndpoint
+import org.vanilladale.runtime.PlannedStop
 import org.vanilladale.runtime.PlatformReader
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
+import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.EntryAddress
 import org.vanilladale.schema.EntryList
 import org.vanilladale.schema.EntrySettings
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.Heartbeat
 import org.vanilladale.schema.Incarnation
+import org.vanilladale.schema.Leaving
 import org.vanilladale.schema.Pool
 import org.vanilladale.schema.PoolTarget
 import org.vanilladale.schema.Role
@@ -73,16 +78,29 @@
         ::systemNow,
     )
 
+    private val plannedStop = PlannedStop(
+        settings.vm,
+        settings.drainMilliseconds,
+        ::systemNow,
+        runner::inFlight,
+    ) { leaving -> links.all.forEach { it.connection?.trySend(leaving) } }
+
     /** Listens for callers and operators and follows the configuration. */
     public suspend fun start() {
         val pages = mapOf("/v1/status" to { _: Map<String, String> -> statusText() })
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
         scope.launch { while (isActive) followConfiguration() }
-        CallerEndpoint(vertx, scope, settings, counters, ::entryList, runner::run).start()
+        CallerEndpoint(vertx, scope, settings, counters, ::entryList, ::serve).start()
         Logger.info { "entry: ${settings.vm} listens on ${settings.callerAddress}" }
     }
 
+    /** Takes no new requests, waits for those in flight and ends. */
+    public suspend fun leave() {
+        plannedStop.run()
+        stop()
+    }
+
     /** Ends at once. */
     public fun stop() {
         scope.cancel()
@@ -90,6 +108,13 @@
         vertx.close()
     }
 
+    private suspend fun serve(request: CallerRequest, sink: AnswerSink): Refusal? =
+        if (plannedStop.refusesNewWork()) {
+            Refusal(RefusalReason.LEAVING)
+        } else {
+            runner.run(request, sink)
+        }
+
     private suspend fun followConfiguration() {
         val published = platform.readTables(configuration.current?.revision, WATCH_MILLISECONDS)
         if (published == null) {
@@ -133,6 +158,11 @@
                 fleet.poolsOf(target).forEach { router.reported(it, target, load) }
             }
 
+            is Leaving -> {
+                val leavingAt = Deadline.fromEpochMilliseconds(frame.leavingAt.epochMilliseconds)
+                fleet.poolsOf(target).forEach { router.markLeaving(it, target, leavingAt) }
+            }
+
             else -> counters.event("frame-unexpected")
         }
     }
--- a/entry/src/main/kotlin/org/vanilladale/entry/Main.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Main.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.types.file
 import kotlinx.coroutines.runBlocking
 import org.vanilladale.core.settings.SettingsText
+import org.vanilladale.runtime.onTermination
 import org.vanilladale.schema.EntrySettings
 
 private class EntryCommand : CliktCommand("vanilladale-entry") {
@@ -24,7 +25,9 @@
         val parsed = SettingsText.parse(EntrySettings.serializer(), settings.readText())
             .fold({ throw CliktError(it.message) }, { it })
         if (check) return
-        runBlocking { Entry(parsed).start() }
+        val entry = Entry(parsed)
+        runBlocking { entry.start() }
+        onTermination(entry::leave)
     }
 }
 
--- /dev/null
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
@@ -0,0 +1,53 @@
+package org.vanilladale.runtime
+
+import java.util.concurrent.atomic.AtomicReference
+import kotlinx.coroutines.delay
+import org.tinylog.kotlin.Logger
+import org.vanilladale.core.membership.LeavingState
+import org.vanilladale.schema.Leaving
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.VmId
+
+/**
+ * Graceful shutdown of this process: announce, refuse new work, wait for requests in flight.
+ *
+ * @param inFlight number of requests in flight
+ * @param announce sends the frame to every peer
+ */
+public class PlannedStop(
+    private val vm: VmId,
+    private val drainMilliseconds: Long,
+    private val clock: () -> Timestamp,
+    private val inFlight: () -> Int,
+    private val announce: (Leaving) -> Unit,
+) {
+    private val state = AtomicReference<LeavingState>(LeavingState.Serving)
+
+    /** Frame for peers that connect after the announcement; null while the process serves. */
+    public val leavingOrNull: Leaving?
+        get() = (state.get() as? LeavingState.Announced)?.frame
+
+    /** Returns true when new work is to be refused. */
+    public fun refusesNewWork(): Boolean = state.get().refusesNewWork(clock())
+
+    /** Announces the stop and returns when nothing is in flight or the drain deadline passes. */
+    public suspend fun run() {
+        val announced = LeavingState.Serving.announce(
+            vm,
+            clock(),
+            NOTICE_MILLISECONDS,
+            drainMilliseconds,
+        )
+        if (!state.compareAndSet(LeavingState.Serving, announced)) return
+        announce(announced.frame)
+        Logger.info { "stop: $vm leaves, ${inFlight()} requests in flight" }
+        while (!announced.isDrained(inFlight(), clock())) delay(POLL_MILLISECONDS)
+        Logger.info { "stop: $vm drained, ${inFlight()} requests in flight" }
+    }
+
+    private companion object {
+        /** Peers learn of the stop within this time; callers' requests on the way still run. */
+        const val NOTICE_MILLISECONDS = 2_000L
+        const val POLL_MILLISECONDS = 20L
+    }
+}
