--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/once/LiveTarget.kt
@@ -0,0 +1,7 @@
+package org.vanilladale.core.once
+
+import org.vanilladale.schema.Incarnation
+import org.vanilladale.schema.TargetId
+
+/** A live target and the incarnation of its agent, as an entry learned it from Welcome. */
+public data class LiveTarget(val target: TargetId, val incarnation: Incarnation)
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/once/AtMostOnceHistoryTest.kt
@@ -0,0 +1,91 @@
+package org.vanilladale.core.once
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.schema.Incarnation
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThan
+
+/** Proofs of I3 and I4 by history checking, with each mechanism and without it. */
+class AtMostOnceHistoryTest {
+    private val all = Faults(
+        "all faults",
+        lost = 15,
+        late = 15,
+        duplicate = 15,
+        responseLost = 5,
+        pause = 5,
+        restart = 4,
+        listChange = 20,
+    )
+    private val single = listOf(
+        Faults("no fault"),
+        Faults("lost frames", lost = 15),
+        Faults("late frames", late = 15),
+        Faults("duplicate frames", duplicate = 15),
+        Faults("lost responses", responseLost = 5),
+        Faults("pauses", pause = 5),
+        Faults("restarts", restart = 4),
+        Faults("changed target list", listChange = 20),
+        Faults("one of three targets down", targetDown = true),
+        all,
+        all.copy(name = "all faults, one target down", targetDown = true),
+    )
+
+    private fun run(
+        faults: Faults,
+        rebind: Boolean = false,
+        newLedger: (Incarnation) -> LedgerPort,
+    ): List<String> {
+        val histories = (1..SEEDS).map { OnceModel(it, faults, rebind, newLedger).run() }
+        val violations = histories.flatMapIndexed { index, history ->
+            history.violations().map { "seed ${index + 1}: $it" }
+        }
+        val requests = histories.sumOf { it.requests }
+        val unknown = histories.sumOf { it.unknown } * 100.0 / requests
+        val done = histories.sumOf { it.done } * 100.0 / requests
+        println(
+            "once: %-28s %5d requests, done %5.1f %%, unknown %5.1f %%, violations %d %s".format(
+                faults.name,
+                requests,
+                done,
+                unknown,
+                violations.size,
+                violations.groupingBy { it.substringAfter(": ").replace(Regex("\\d+"), "N") }
+                    .eachCount(),
+            ),
+        )
+        return violations
+    }
+
+    @Test
+    fun `no request runs twice or after run=no under any fault`() {
+        single.forEach { expectThat(run(it) { LedgerPort(it) }).isEmpty() }
+        val full = all.copy(name = "all faults, ledger of 2 rows")
+        expectThat(run(full) { LedgerPort(it, maximumRows = 2) }).isEmpty()
+        val two = Faults("two bindings of one key", lost = 15, late = 15, twoBindings = true)
+        expectThat(run(two) { LedgerPort(it) }).isEmpty()
+    }
+
+    @Test
+    fun `the checker finds violations without each mechanism`() {
+        val two = Faults("second binding allowed", lost = 15, late = 15, twoBindings = true)
+        mapOf<Faults, (Incarnation) -> LedgerPort>(
+            all.copy(name = "no ledger") to ::NoLedger,
+            all.copy(name = "cancel marks forgotten") to ::ForgetsCancelMarks,
+            all.copy(name = "incarnation ignored") to ::IgnoresIncarnation,
+            all.copy(name = "dispatch unchecked") to ::DispatchesUnchecked,
+            all.copy(name = "rows forgotten early") to ::ForgetsEarly,
+            all.copy(name = "refusal without mark") to { RefusesWithoutMark(it, 2) },
+            two to ::AllowsSecondBinding,
+        ).forEach { (faults, newLedger) ->
+            expectThat(run(faults, newLedger = newLedger).size).isGreaterThan(0)
+        }
+        val rebinding = all.copy(name = "new binding for each try")
+        expectThat(run(rebinding, rebind = true) { LedgerPort(it) }.size).isGreaterThan(0)
+    }
+
+    private companion object {
+        const val SEEDS = 300
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/once/LedgerPort.kt
@@ -0,0 +1,117 @@
+package org.vanilladale.core.once
+
+import arrow.core.Either
+import arrow.core.right
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.Binding
+import org.vanilladale.schema.CancelState
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Incarnation
+import org.vanilladale.schema.RequestKey
+import org.vanilladale.schema.RunState
+import org.vanilladale.schema.Timestamp
+
+/** The ledger as the model's agent uses it; subclasses take one mechanism out. */
+internal open class LedgerPort(protected val incarnation: Incarnation, maximumRows: Int = 64) {
+    protected val limits = LedgerLimits(maximumRows, 64, 1_000_000, 100, 4_000, shardCount = 1)
+    protected var ledger = newLedger()
+
+    protected fun newLedger() = Ledger<String>(incarnation, limits) { it.length.toLong() }
+
+    open fun submit(binding: Binding, key: BoundKey, deadline: Deadline, now: Timestamp) =
+        ledger.submit(binding, key, deadline, now)
+
+    open fun mayDispatch(binding: Binding, key: BoundKey, now: Timestamp): Either<Refusal, Unit> =
+        ledger.mayDispatch(binding, key, now)
+
+    open fun complete(binding: Binding, key: BoundKey, outcome: String) =
+        ledger.complete(binding, key, outcome)
+
+    fun markUnknown(binding: Binding, key: BoundKey) = ledger.markUnknown(binding, key)
+
+    open fun cancel(binding: Binding, key: BoundKey, now: Timestamp): CancelState =
+        ledger.cancel(binding, key, now)
+
+    open fun forgetExpired(now: Timestamp) {
+        ledger.forgetExpired(now)
+    }
+}
+
+internal class NoLedger(incarnation: Incarnation) : LedgerPort(incarnation) {
+    override fun submit(binding: Binding, key: BoundKey, deadline: Deadline, now: Timestamp) =
+        if (binding.incarnation == incarnation) {
+            SubmitDecision.Run
+        } else {
+            super.submit(binding, key, deadline, now)
+        }
+
+    override fun mayDispatch(binding: Binding, key: BoundKey, now: Timestamp) = Unit.right()
+}
+
+internal class ForgetsCancelMarks(incarnation: Incarnation) : LedgerPort(incarnation) {
+    private val seen = mutableSetOf<BoundKey>()
+
+    override fun submit(binding: Binding, key: BoundKey, deadline: Deadline, now: Timestamp) =
+        super.submit(binding, key, deadline, now).also { seen += key }
+
+    override fun cancel(binding: Binding, key: BoundKey, now: Timestamp) =
+        if (key in seen) super.cancel(binding, key, now) else CancelState.CANCELLED
+}
+
+internal class IgnoresIncarnation(incarnation: Incarnation) : LedgerPort(incarnation) {
+    private fun own(binding: Binding) = binding.copy(incarnation = incarnation)
+
+    override fun submit(binding: Binding, key: BoundKey, deadline: Deadline, now: Timestamp) =
+        super.submit(own(binding), key, deadline, now)
+
+    override fun mayDispatch(binding: Binding, key: BoundKey, now: Timestamp) =
+        super.mayDispatch(own(binding), key, now)
+
+    override fun complete(binding: Binding, key: BoundKey, outcome: String) =
+        super.complete(own(binding), key, outcome)
+
+    override fun cancel(binding: Binding, key: BoundKey, now: Timestamp) =
+        super.cancel(own(binding), key, now)
+}
+
+internal class DispatchesUnchecked(incarnation: Incarnation) : LedgerPort(incarnation) {
+    override fun mayDispatch(binding: Binding, key: BoundKey, now: Timestamp) =
+        Unit.right().also { super.mayDispatch(binding, key, now) }
+}
+
+internal class ForgetsEarly(incarnation: Incarnation) : LedgerPort(incarnation) {
+    override fun forgetExpired(now: Timestamp) {
+        ledger = newLedger()
+    }
+}
+
+/** Refuses as not run when full, without the mark that refuses a later copy. */
+internal class RefusesWithoutMark(incarnation: Incarnation, rows: Int) : LedgerPort(incarnation) {
+    private val maximum = rows
+
+    override fun submit(binding: Binding, key: BoundKey, deadline: Deadline, now: Timestamp) =
+        if (ledger.size().rows >= maximum) {
+            SubmitDecision.Refuse(Refusal(RefusalReason.TARGET_OVERLOADED, RunState.NO))
+        } else {
+            super.submit(binding, key, deadline, now)
+        }
+}
+
+/** Keeps a row for each binding, so that a second binding of one key runs too. */
+internal class AllowsSecondBinding(incarnation: Incarnation) : LedgerPort(incarnation) {
+    private fun own(binding: Binding, key: BoundKey) =
+        key.copy(key = RequestKey.parse("${key.key}/${binding.nonce}"))
+
+    override fun submit(binding: Binding, key: BoundKey, deadline: Deadline, now: Timestamp) =
+        super.submit(binding, own(binding, key), deadline, now)
+
+    override fun mayDispatch(binding: Binding, key: BoundKey, now: Timestamp) =
+        super.mayDispatch(binding, own(binding, key), now)
+
+    override fun complete(binding: Binding, key: BoundKey, outcome: String) =
+        super.complete(binding, own(binding, key), outcome)
+
+    override fun cancel(binding: Binding, key: BoundKey, now: Timestamp) =
+        super.cancel(binding, own(binding, key), now)
+}
