--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/CrashRecord.kt
@@ -0,0 +1,51 @@
+package org.vanilladale.core.crash
+
+import org.vanilladale.schema.CrashId
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Fingerprint
+import org.vanilladale.schema.Suspect
+
+/**
+ * Crashes with one request in flight. Both sets only grow until the record expires, so merging is
+ * independent of order and repetition.
+ */
+internal data class CrashRecord(
+    val crashes: Set<CrashId>,
+    val cleared: Set<CrashId>,
+    val expiresAt: Deadline,
+) {
+    /** Crashes that no completed isolated run has cleared. */
+    val open: Set<CrashId> get() = crashes - cleared
+
+    fun merge(other: CrashRecord): CrashRecord = CrashRecord(
+        lowest(crashes + other.crashes),
+        lowest(cleared + other.cleared),
+        maxOf(expiresAt, other.expiresAt),
+    )
+
+    fun toSuspects(fingerprint: Fingerprint): List<Suspect> = listOfNotNull(
+        suspectOrNull(fingerprint, open, isCleared = false),
+        suspectOrNull(fingerprint, cleared, isCleared = true),
+    )
+
+    private fun suspectOrNull(fingerprint: Fingerprint, ids: Set<CrashId>, isCleared: Boolean) =
+        ids.takeIf { it.isNotEmpty() }
+            ?.let { Suspect(fingerprint, it.sortedBy(CrashId::text), isCleared, expiresAt) }
+
+    companion object {
+        /** Bounds a record's size; crashes beyond it count again only after the expiry. */
+        private const val MAXIMUM_CRASHES = 64
+
+        fun fromSuspect(suspect: Suspect): CrashRecord {
+            val ids = lowest(suspect.crashes.toSet())
+            return CrashRecord(ids, if (suspect.cleared) ids else emptySet(), suspect.expiresAt)
+        }
+
+        /** The lowest ids of a union don't depend on the order in which it was formed. */
+        private fun lowest(ids: Set<CrashId>): Set<CrashId> = if (ids.size <= MAXIMUM_CRASHES) {
+            ids
+        } else {
+            ids.sortedBy(CrashId::text).take(MAXIMUM_CRASHES).toSet()
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/RequestFingerprints.kt
@@ -0,0 +1,41 @@
+package org.vanilladale.core.crash
+
+import org.vanilladale.core.hash.hexadecimalOf
+import org.vanilladale.core.hash.sha256OfFields
+import org.vanilladale.schema.Fingerprint
+import org.vanilladale.schema.RequestKey
+import org.vanilladale.schema.RequestKind
+import org.vanilladale.schema.WorkspaceId
+
+/**
+ * Names under which a request is remembered as a suspect.
+ *
+ * @property content over workspace, kind and content: the same request under a new key
+ * @property key over workspace and caller key: the same request with changed content
+ */
+public data class RequestFingerprints(val content: Fingerprint, val key: Fingerprint) {
+    public companion object {
+        /** Computes both fingerprints of a request. */
+        public fun fromRequest(
+            workspace: WorkspaceId,
+            kind: RequestKind,
+            key: RequestKey,
+            content: ByteArray,
+        ): RequestFingerprints = RequestFingerprints(
+            content = fingerprintOf(
+                "content".toByteArray(),
+                workspace.text.toByteArray(),
+                kind.text.toByteArray(),
+                content,
+            ),
+            key = fingerprintOf(
+                "key".toByteArray(),
+                workspace.text.toByteArray(),
+                key.text.toByteArray(),
+            ),
+        )
+
+        private fun fingerprintOf(vararg fields: ByteArray): Fingerprint =
+            Fingerprint.parse(hexadecimalOf(sha256OfFields(fields.asList())))
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/SuspectShard.kt
@@ -0,0 +1,59 @@
+package org.vanilladale.core.crash
+
+import org.vanilladale.schema.CrashId
+import org.vanilladale.schema.Fingerprint
+import org.vanilladale.schema.Suspect
+import org.vanilladale.schema.Timestamp
+
+/** Records of one shard. The caller holds the shard's lock. */
+internal class SuspectShard(
+    private val maximumRecords: Int,
+    private val longestRecordMilliseconds: Long,
+) {
+    private val records = HashMap<Fingerprint, CrashRecord>()
+
+    val size: Int get() = records.size
+
+    fun openCrashes(fingerprint: Fingerprint, now: Timestamp): Set<CrashId> =
+        records[fingerprint]?.takeUnless { it.expiresAt.hasPassed(now) }?.open.orEmpty()
+
+    /** Returns true when [suspect] told something new. */
+    fun merge(suspect: Suspect, now: Timestamp): Boolean {
+        if (suspect.expiresAt.hasPassed(now) || suspect.crashes.isEmpty()) return false
+        val latest = now.deadlineAfter(longestRecordMilliseconds)
+        val told = CrashRecord.fromSuspect(suspect)
+            .let { it.copy(expiresAt = minOf(it.expiresAt, latest)) }
+        val known = records[suspect.fingerprint]?.takeUnless { it.expiresAt.hasPassed(now) }
+        val merged = known?.merge(told) ?: told
+        records[suspect.fingerprint] = merged
+        if (records.size > maximumRecords) evictOne()
+        return known == null || merged.crashes != known.crashes || merged.cleared != known.cleared
+    }
+
+    /** Clears the crashes known now; a later one counts again. */
+    fun clear(fingerprint: Fingerprint, now: Timestamp): Suspect? {
+        val record = records[fingerprint]?.takeUnless { it.expiresAt.hasPassed(now) }
+        val open = record?.open.orEmpty()
+        if (record == null || open.isEmpty()) return null
+        records[fingerprint] = record.copy(cleared = record.cleared + open)
+        return Suspect(fingerprint, open.sortedBy(CrashId::text), true, record.expiresAt)
+    }
+
+    fun forgetExpired(now: Timestamp): Int {
+        val before = records.size
+        records.values.removeIf { it.expiresAt.hasPassed(now) }
+        return before - records.size
+    }
+
+    fun suspects(now: Timestamp): List<Suspect> = records
+        .filterValues { !it.expiresAt.hasPassed(now) }
+        .flatMap { (fingerprint, record) -> record.toSuspects(fingerprint) }
+
+    /** Removes the record that protects least; forgetting one costs at most two more crashes. */
+    private fun evictOne() {
+        val least = records.entries.minWith(
+            compareBy({ it.value.open.size }, { it.value.expiresAt }, { it.key.text }),
+        )
+        records.remove(least.key)
+    }
+}
