--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/configuration/TablesText.kt
@@ -0,0 +1,170 @@
+package org.vanilladale.core.configuration
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.descriptors.SerialKind
+import kotlinx.serialization.descriptors.StructureKind
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.doubleOrNull
+import kotlinx.serialization.json.intOrNull
+import kotlinx.serialization.json.longOrNull
+import org.vanilladale.schema.Pool
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.Route
+import org.vanilladale.schema.Tables
+
+private const val QUOTED_LENGTH = 60
+
+@OptIn(ExperimentalSerializationApi::class)
+private val tablesJson = Json {
+    allowComments = true
+    allowTrailingComma = true
+}
+
+/**
+ * Reads the operators' two tables. Each text is a JSON array of rows and may hold comments.
+ *
+ * The left side holds every syntax and type fault; the join is checked by [JoinedTables].
+ */
+public fun parseTables(
+    revision: Revision,
+    routesText: String,
+    poolsText: String,
+): Either<NonEmptyList<TableFault>, Tables> {
+    val faults = mutableListOf<TableFault>()
+    val routes = parseRows("routes", routesText, Route.serializer(), faults)
+    val pools = parseRows("pools", poolsText, Pool.serializer(), faults)
+    return faults.toNonEmptyListOrNull()?.left() ?: Tables(revision, routes, pools).right()
+}
+
+private fun <T> parseRows(
+    place: String,
+    text: String,
+    serializer: KSerializer<T>,
+    faults: MutableList<TableFault>,
+): List<T> {
+    val rows = parseElementOrNull(place, text, faults) ?: return emptyList()
+    if (rows !is JsonArray) {
+        faults += TableFault(place, quoted(rows), "write the table as a JSON array of rows")
+        return emptyList()
+    }
+    return rows.mapIndexedNotNull { index, row ->
+        val rowPlace = "$place[$index]"
+        val rowFaults = buildList { addElementFaults(rowPlace, row, serializer.descriptor) }
+        faults += rowFaults
+        if (rowFaults.isEmpty()) decodeRowOrNull(rowPlace, row, serializer, faults) else null
+    }
+}
+
+private fun parseElementOrNull(
+    place: String,
+    text: String,
+    faults: MutableList<TableFault>,
+): JsonElement? = try {
+    tablesJson.parseToJsonElement(text)
+} catch (exception: SerializationException) {
+    val message = exception.message.orEmpty().lineSequence().first()
+    val offset = Regex("offset (\\d+)").find(message)?.groupValues?.get(1)?.toIntOrNull()
+    val line = offset?.let { text.take(it).count { character -> character == '\n' } + 1 }
+    val where = if (line == null) place else "$place line $line"
+    faults += TableFault(where, message.take(2 * QUOTED_LENGTH), "correct the JSON syntax")
+    null
+}
+
+private fun <T> decodeRowOrNull(
+    place: String,
+    row: JsonElement,
+    serializer: KSerializer<T>,
+    faults: MutableList<TableFault>,
+): T? = try {
+    tablesJson.decodeFromJsonElement(serializer, row)
+} catch (exception: IllegalArgumentException) {
+    faults += TableFault(place, exception.message.orEmpty(), "correct the value in this row")
+    null
+}
+
+private fun MutableList<TableFault>.addElementFaults(
+    place: String,
+    element: JsonElement,
+    descriptor: SerialDescriptor,
+) {
+    when {
+        element is JsonNull && descriptor.isNullable -> Unit
+        descriptor.isInline -> addElementFaults(place, element, descriptor.getElementDescriptor(0))
+        descriptor.kind == StructureKind.CLASS -> addObjectFaults(place, element, descriptor)
+        descriptor.kind == StructureKind.LIST -> if (element is JsonArray) {
+            element.forEachIndexed { index, item ->
+                addElementFaults("$place[$index]", item, descriptor.getElementDescriptor(0))
+            }
+        } else {
+            add(TableFault(place, quoted(element), "write a JSON array"))
+        }
+        else -> addPrimitiveFault(place, element, descriptor)
+    }
+}
+
+private fun MutableList<TableFault>.addObjectFaults(
+    place: String,
+    element: JsonElement,
+    descriptor: SerialDescriptor,
+) {
+    if (element !is JsonObject) {
+        add(TableFault(place, quoted(element), "write a JSON object"))
+        return
+    }
+    val names = (0 until descriptor.elementsCount).map { descriptor.getElementName(it) }
+    (element.keys - names.toSet()).forEach { unknown ->
+        add(TableFault("$place.$unknown", "an unknown field", "use one of $names or remove it"))
+    }
+    names.forEachIndexed { index, name ->
+        val value = element[name]
+        if (value != null) {
+            addElementFaults("$place.$name", value, descriptor.getElementDescriptor(index))
+        } else if (!descriptor.isElementOptional(index)) {
+            add(TableFault("$place.$name", "nothing", "add the required field $name"))
+        }
+    }
+}
+
+private fun MutableList<TableFault>.addPrimitiveFault(
+    place: String,
+    element: JsonElement,
+    descriptor: SerialDescriptor,
+) {
+    val expected = expectedTypeOrNull(element as? JsonPrimitive, descriptor) ?: return
+    add(TableFault(place, quoted(element), "write $expected"))
+}
+
+/** Returns what the descriptor asks for when [value] isn't that, else null. */
+private fun expectedTypeOrNull(value: JsonPrimitive?, descriptor: SerialDescriptor): String? {
+    val literal = value?.takeIf { !it.isString && it !is JsonNull }
+    val (matches, expected) = when (descriptor.kind) {
+        PrimitiveKind.STRING -> (value?.isString == true) to "a string in quotes"
+        PrimitiveKind.BOOLEAN -> (literal?.booleanOrNull != null) to "true or false"
+        PrimitiveKind.INT -> (literal?.intOrNull != null) to "a whole number of 32 bits"
+        PrimitiveKind.LONG -> (literal?.longOrNull != null) to "a whole number"
+        PrimitiveKind.DOUBLE -> (literal?.doubleOrNull?.isFinite() == true) to "a number"
+        SerialKind.ENUM -> {
+            val codes = (0 until descriptor.elementsCount).map { descriptor.getElementName(it) }
+            (value?.isString == true && value.content in codes) to "one of $codes"
+        }
+        else -> error("no table field has kind ${descriptor.kind}; extend this check")
+    }
+    return expected.takeUnless { matches }
+}
+
+private fun quoted(element: JsonElement): String = element.toString().take(QUOTED_LENGTH)
