--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/membership/ConnectionWatch.kt
@@ -0,0 +1,111 @@
+package org.vanilladale.core.membership
+
+import kotlin.random.Random
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Timestamp
+
+/** What the owner of a connection does after an event. */
+public sealed interface ConnectionAction {
+    /** Close the connection without waiting for the other side. */
+    public data object Abandon : ConnectionAction
+
+    /** Open a new connection; report the outcome before [deadline]. */
+    public data class Dial(val deadline: Deadline) : ConnectionAction
+
+    public data object SuspectTarget : ConnectionAction
+
+    public data object ClearSuspicion : ConnectionAction
+}
+
+/**
+ * Times of [ConnectionWatch].
+ *
+ * @property silenceMilliseconds a connection without a frame for this time is abandoned
+ * @property dialMilliseconds longest wait for a dial
+ * @property shortestBackoffMilliseconds wait after the first failed dial, doubled up to
+ *   [longestBackoffMilliseconds]
+ */
+public data class ConnectionTimes(
+    val silenceMilliseconds: Long = 3_000,
+    val dialMilliseconds: Long = 1_000,
+    val shortestBackoffMilliseconds: Long = 250,
+    val longestBackoffMilliseconds: Long = 8_000,
+)
+
+/**
+ * Watches one connection. A silent connection says nothing about the target, so only the outcome
+ * of the next dial decides whether the target is suspected.
+ *
+ * Mutable: used under the lock of the connection's shard.
+ */
+public class ConnectionWatch(private val times: ConnectionTimes, private val random: Random) {
+    private sealed interface Phase {
+        data class Open(val silentAt: Deadline) : Phase
+
+        data class Dialling(val deadline: Deadline) : Phase
+
+        data class Waiting(val dialAt: Deadline) : Phase
+    }
+
+    private var phase: Phase? = null
+    private var failedDials = 0
+
+    /** True while the last dial failed. */
+    public val isSuspected: Boolean get() = failedDials > 0
+
+    /** Opens the first connection. */
+    public fun start(now: Timestamp): List<ConnectionAction> = listOf(dial(now))
+
+    public fun frameReceived(now: Timestamp) {
+        if (phase is Phase.Open) phase = Phase.Open(silentAt(now))
+    }
+
+    /** The other side closed the connection, or it broke. */
+    public fun connectionLost(now: Timestamp): List<ConnectionAction> =
+        if (phase is Phase.Open) listOf(dial(now)) else emptyList()
+
+    /** A dial counts as successful once the answer to Hello has arrived. */
+    public fun dialSucceeded(now: Timestamp): List<ConnectionAction> {
+        if (phase !is Phase.Dialling) return listOf(ConnectionAction.Abandon)
+        phase = Phase.Open(silentAt(now))
+        val suspected = isSuspected
+        failedDials = 0
+        return if (suspected) listOf(ConnectionAction.ClearSuspicion) else emptyList()
+    }
+
+    public fun dialFailed(now: Timestamp): List<ConnectionAction> {
+        if (phase !is Phase.Dialling) return emptyList()
+        failedDials += 1
+        phase = Phase.Waiting(now.deadlineAfter(backoffMilliseconds()))
+        return if (failedDials == 1) listOf(ConnectionAction.SuspectTarget) else emptyList()
+    }
+
+    public fun tick(now: Timestamp): List<ConnectionAction> {
+        val current = phase
+        return when {
+            current is Phase.Open && current.silentAt.hasPassed(now) ->
+                listOf(ConnectionAction.Abandon, dial(now))
+            current is Phase.Dialling && current.deadline.hasPassed(now) ->
+                listOf(ConnectionAction.Abandon) + dialFailed(now)
+            current is Phase.Waiting && current.dialAt.hasPassed(now) -> listOf(dial(now))
+            else -> emptyList()
+        }
+    }
+
+    private fun dial(now: Timestamp): ConnectionAction {
+        val deadline = now.deadlineAfter(times.dialMilliseconds)
+        phase = Phase.Dialling(deadline)
+        return ConnectionAction.Dial(deadline)
+    }
+
+    private fun silentAt(now: Timestamp) = now.deadlineAfter(times.silenceMilliseconds)
+
+    /** Draws from the upper half of the range, so that many watchers don't dial together. */
+    private fun backoffMilliseconds(): Long {
+        var longest = times.shortestBackoffMilliseconds
+        repeat(failedDials - 1) {
+            longest = minOf(2 * longest, times.longestBackoffMilliseconds)
+        }
+        return longest / 2 + random.nextLong(longest / 2 + 1)
+    }
+}
