Measure control bytes and time until a revision is in force

Cause: a node may spend 3 KB a second on control and a change may take 16 s. Ruled out: naming the revision in each heartbeat; heartbeatOfferOrNull names it once for each connection and change.

--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/configuration/ConfigurationCostTest.kt
@@ -0,0 +1,76 @@
+package org.vanilladale.core.configuration
+
+import kotlin.math.abs
+import kotlin.random.Random
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isLessThan
+
+private const val CHANGES = 6
+private const val FIRST_CHANGE = 40_000L
+private const val BETWEEN_CHANGES = 27_000L
+
+/** Measures bytes of control and the time to force at several fleet sizes in virtual time. */
+class ConfigurationCostTest {
+    private class Cost(val size: Int, val bytesPerSecond: Double, val delays: List<Long>)
+
+    private fun measure(size: Int, whole: Boolean): Cost {
+        // Each process has 1 + chords links of its own and as many of others on average.
+        val run = ConfigurationRun(
+            11,
+            size,
+            sparseLinks(size, chords = 7, Random(11)),
+            whole = whole,
+        )
+        val written = mutableMapOf(1L to 0L)
+        var current = tables(1, targets = 830, pools = 27)
+        run.service = { current }
+        repeat(size) { process -> run.at(run.random.nextLong(500)) { run.start(process) } }
+        run.at(FIRST_CHANGE - 1) { run.bytes = 0 }
+        repeat(CHANGES) { change ->
+            run.at(FIRST_CHANGE + change * BETWEEN_CHANGES) {
+                current = tables(change + 2L, targets = 830, pools = 27)
+                written[change + 2L] = run.now
+            }
+        }
+        run.runUntil(FIRST_CHANGE + CHANGES * BETWEEN_CHANGES)
+        val seconds = CHANGES * BETWEEN_CHANGES / 1_000.0
+        val delays = (2L..CHANGES + 1L).map { revision ->
+            val taken = run.history.inForce.filter { it.revision == revision }
+            check(taken.map { it.process }.distinct().size == size) { "revision $revision" }
+            taken.maxOf { it.at } - written.getValue(revision)
+        }
+        return Cost(size, run.bytes / seconds / size, delays.sorted())
+    }
+
+    private fun report(name: String, costs: List<Cost>) {
+        costs.forEach {
+            println(
+                "configuration: cost $name, ${it.size} processes: %.1f bytes/s, ".format(
+                    it.bytesPerSecond,
+                ) + "in force everywhere p50 ${it.delays[CHANGES / 2]} ms, max ${it.delays.last()}",
+            )
+        }
+        val x = costs.map { it.size.toDouble() }
+        val y = costs.map { it.bytesPerSecond }
+        val slope = x.zip(y).sumOf { (a, b) -> (a - x.average()) * (b - y.average()) } /
+            x.sumOf { (it - x.average()) * (it - x.average()) }
+        val start = y.average() - slope * x.average()
+        val error = x.zip(y).maxOf { (a, b) -> abs(start + slope * a - b) / b }
+        println(
+            "configuration: cost $name: %.1f + %.4f bytes/s a process, largest error %.1f %%"
+                .format(start, slope, 100 * error),
+        )
+    }
+
+    @Test
+    fun `control stays below 3 KB a second and 16 s at each fleet size with deltas`() {
+        val delta = listOf(20, 60, 180, 360).map { measure(it, whole = false) }
+        report("with deltas", delta)
+        val whole = listOf(20, 60, 180, 360).map { measure(it, whole = true) }
+        report("with whole tables", whole)
+        expectThat(delta.maxOf { it.bytesPerSecond }).isLessThan(3_000.0)
+        expectThat(delta.maxOf { it.delays.last() }).isLessThan(16_000)
+        expectThat(delta.last().bytesPerSecond).isLessThan(whole.last().bytesPerSecond)
+    }
+}
