Add leases, map switch, order gate and step watch of rank groups

Ruled out: an abort by a member that sees one peer with a higher promise, and an abort by the holder that armed the map; in both cases another rank may have seen all ranks armed before. Change: RankLease, RankMapMember, MapSwitchCoordinator, EngineOrderGate, GroupStepWatch and a seeded driver with lock-step engines. Conclusion: holds under the driver's bound that an order of a dead agent arrives within the longest lease.

--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchCoordinator.kt
@@ -0,0 +1,231 @@
+package org.vanilladale.core.rankgroup
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.vanilladale.schema.ArmedMap
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Digest
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.GroupId
+import org.vanilladale.schema.LeaseRelease
+import org.vanilladale.schema.LeaseReply
+import org.vanilladale.schema.LeaseRequest
+import org.vanilladale.schema.MapAbort
+import org.vanilladale.schema.MapArm
+import org.vanilladale.schema.MapArmed
+import org.vanilladale.schema.MapConfirm
+import org.vanilladale.schema.MapPrepare
+import org.vanilladale.schema.MapPrepared
+import org.vanilladale.schema.MapState
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.RankMapState
+import org.vanilladale.schema.Step
+import org.vanilladale.schema.Term
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.VmId
+
+/** Frame that a coordinator sends to the agent of [rank]. */
+public data class CoordinatorFrame(val rank: Rank, val frame: Frame)
+
+/**
+ * One map switch by one holder under one term.
+ *
+ * The lease ends on the holder's clock [MapSwitchPlan.leaseMilliseconds] after the first request
+ * was sent, so never later than at a rank, which counts from its grant. Every call checks the lease
+ * before it returns a frame. A holder never aborts a map that it armed itself: the ranks may have
+ * confirmed it among themselves, so only a holder of a higher term can tell.
+ */
+public class MapSwitchCoordinator(private val plan: MapSwitchPlan, now: Timestamp) {
+    private val leaseEnd: Deadline = now.deadlineAfter(plan.leaseMilliseconds)
+    private var retryAt: Deadline = now.deadlineAfter(plan.retryMilliseconds)
+    private val waiting = plan.ranks.toMutableSet()
+    private val states = mutableMapOf<Rank, RankMapState>()
+    private var unfinished: ArmedMap? = null
+    private var armed: ArmedMap? = null
+
+    /** Phase that the switch has reached. */
+    public var phase: MapSwitchPhase = MapSwitchPhase.COLLECT
+        private set
+
+    /** Completed map or the reason why there is none; null while the switch runs. */
+    public var result: Either<MapSwitchFault, ArmedMap>? = null
+        private set
+
+    /** Returns the first frames. */
+    public fun start(now: Timestamp): List<CoordinatorFrame> = guarded(now) { frames() }
+
+    /** Repeats unanswered frames when the retry deadline has passed; ends with the lease. */
+    public fun tick(now: Timestamp): List<CoordinatorFrame> = guarded(now) {
+        if (!retryAt.hasPassed(now)) return@guarded emptyList()
+        retryAt = now.deadlineAfter(plan.retryMilliseconds)
+        frames()
+    }
+
+    /** Handles the answer of a rank; answers to other terms or phases change nothing. */
+    public fun onFrame(frame: Frame, now: Timestamp): List<CoordinatorFrame> = guarded(now) {
+        val answered = when (frame) {
+            is LeaseReply -> onLeaseReply(frame)
+
+            is MapPrepared -> frame.rank.takeIf {
+                phase == MapSwitchPhase.PREPARE && frame.term == plan.term &&
+                    frame.digest == plan.digest
+            }
+
+            is MapArmed -> frame.rank.takeIf {
+                phase == MapSwitchPhase.ARM && armed?.let { plan.sameMap(it, frame.armed) } == true
+            }
+
+            is MapState -> onState(frame)
+
+            else -> null
+        }
+        if (phase == MapSwitchPhase.ENDED) return@guarded releases()
+        if (answered == null || !waiting.remove(answered)) return@guarded emptyList()
+        if (waiting.isEmpty()) nextPhase(now) else emptyList()
+    }
+
+    private fun onLeaseReply(reply: LeaseReply): Rank? {
+        if (phase != MapSwitchPhase.COLLECT) return null
+        if (!reply.granted) {
+            if (reply.term != plan.term || reply.rank !in waiting) return null
+            end(
+                MapSwitchFault.LeaseRefused(reply.rank, reply.highestTerm, reply.grantedFrom)
+                    .left(),
+            )
+            return null
+        }
+        val state = reply.mapState
+        if (reply.term != plan.term || state == null) return null
+        states[reply.rank] = state
+        return reply.rank
+    }
+
+    private fun onState(frame: MapState): Rank? {
+        val state = frame.state
+        if (frame.term != plan.term || state == null) return null
+        val map = armed
+        return when (phase) {
+            MapSwitchPhase.RECOVER -> frame.rank.takeIf { state.armed == null || state.confirmed }
+
+            MapSwitchPhase.ARM -> {
+                if (map != null && state.armed == null && state.step > map.switchStep) {
+                    end(MapSwitchFault.SwitchStepPassed(frame.rank).left())
+                }
+                null
+            }
+
+            MapSwitchPhase.CONFIRM -> frame.rank.takeIf {
+                state.activeDigest == map?.digest || state.confirmed
+            }
+
+            else -> null
+        }
+    }
+
+    private fun nextPhase(now: Timestamp): List<CoordinatorFrame> {
+        waiting += plan.ranks
+        when (phase) {
+            MapSwitchPhase.COLLECT -> recover()
+
+            MapSwitchPhase.RECOVER -> prepare()
+
+            MapSwitchPhase.PREPARE -> {
+                phase = MapSwitchPhase.ARM
+                armed = ArmedMap(plan.term, plan.digest, plan.switchStep(latestStep()))
+            }
+
+            MapSwitchPhase.ARM -> phase = MapSwitchPhase.CONFIRM
+
+            else -> {
+                end(checkNotNull(armed).right())
+                return releases()
+            }
+        }
+        if (phase == MapSwitchPhase.ENDED) return releases()
+        retryAt = now.deadlineAfter(plan.retryMilliseconds)
+        return frames()
+    }
+
+    private fun recover() {
+        val holding = states.filterValues { it.armed != null }
+        // A rank that already runs the map it holds for was armed by a late order: abort.
+        unfinished = holding.values.filter { it.activeDigest != it.armed?.digest }
+            .mapNotNull { it.armed }
+            .filter { map -> states.values.any { it.shows(map) } }
+            .maxByOrNull { it.term }
+        if (holding.isEmpty()) return prepare()
+        waiting.retainAll(holding.keys)
+        phase = MapSwitchPhase.RECOVER
+    }
+
+    private fun prepare() {
+        phase = MapSwitchPhase.PREPARE
+        val finished = unfinished
+        if (finished?.digest == plan.digest) return end(finished.right())
+        if (states.values.any { it.activeDigest == plan.digest }) {
+            end(MapSwitchFault.AlreadyActive(plan.digest).left())
+        }
+    }
+
+    private fun latestStep(): Step =
+        (states.values.map { it.step } + states.values.mapNotNull { it.armed?.switchStep }).max()
+
+    private fun frames(): List<CoordinatorFrame> = waiting.map { rank ->
+        CoordinatorFrame(rank, frameFor(rank))
+    }
+
+    private fun frameFor(rank: Rank): Frame = when (phase) {
+        MapSwitchPhase.COLLECT ->
+            LeaseRequest(plan.group, plan.holder, plan.term, plan.leaseMilliseconds)
+
+        MapSwitchPhase.RECOVER -> {
+            val map = unfinished
+            val rankMap = states[rank]?.armed
+            val finish = rankMap?.digest == map?.digest && rankMap?.switchStep == map?.switchStep
+            if (map != null && finish) {
+                MapConfirm(plan.group, plan.term, map)
+            } else {
+                MapAbort(plan.group, plan.term)
+            }
+        }
+
+        MapSwitchPhase.PREPARE ->
+            MapPrepare(plan.group, plan.term, plan.digest, plan.placement)
+
+        MapSwitchPhase.ARM -> MapArm(plan.group, checkNotNull(armed))
+
+        MapSwitchPhase.CONFIRM -> MapConfirm(plan.group, plan.term, checkNotNull(armed))
+
+        MapSwitchPhase.ENDED -> LeaseRelease(plan.group, plan.holder, plan.term)
+    }
+
+    private fun releases(): List<CoordinatorFrame> {
+        waiting.clear()
+        return plan.ranks.map { CoordinatorFrame(it, frameFor(it)) }
+    }
+
+    private fun end(outcome: Either<MapSwitchFault, ArmedMap>) {
+        result = outcome
+        phase = MapSwitchPhase.ENDED
+    }
+
+    private fun guarded(
+        now: Timestamp,
+        block: () -> List<CoordinatorFrame>,
+    ): List<CoordinatorFrame> {
+        if (phase == MapSwitchPhase.ENDED) return emptyList()
+        if (leaseEnd.hasPassed(now)) {
+            end(MapSwitchFault.RanksUnreachable(phase, waiting.toSet()).left())
+            return emptyList()
+        }
+        return block()
+    }
+}
+
+/** Tells whether this state proves that [map] was confirmed or is in use. */
+private fun RankMapState.shows(map: ArmedMap): Boolean {
+    val held = armed
+    if (held == null) return activeDigest == map.digest
+    return confirmed && held.digest == map.digest && held.switchStep == map.switchStep
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchFault.kt
@@ -0,0 +1,45 @@
+package org.vanilladale.core.rankgroup
+
+import org.vanilladale.schema.Digest
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Term
+import org.vanilladale.schema.Timestamp
+
+/** Why a map switch ended without completion. */
+public sealed interface MapSwitchFault {
+    /** What the caller can do. */
+    public val remedy: String
+
+    /** A rank refused the lease. */
+    public data class LeaseRefused(
+        val rank: Rank,
+        val highestTerm: Term,
+        val grantedFrom: Timestamp?,
+    ) : MapSwitchFault {
+        override val remedy: String
+            get() = "Start again with a term above $highestTerm, not before $grantedFrom."
+    }
+
+    /** Ranks did not answer in [phase] before the lease ended. */
+    public data class RanksUnreachable(val phase: MapSwitchPhase, val ranks: Set<Rank>) :
+        MapSwitchFault {
+        override val remedy: String
+            get() = "Check the agents of ranks ${ranks.joinToString()}; then start again at a " +
+                "higher term, which finishes or aborts this switch."
+    }
+
+    /** The group runs [digest] already. */
+    public data class AlreadyActive(val digest: Digest) : MapSwitchFault {
+        override val remedy: String
+            get() = "Nothing is left to do; choose another map to move experts."
+    }
+
+    /** The engine of [rank] was past the switch step when the order to hold arrived. */
+    public data class SwitchStepPassed(val rank: Rank) : MapSwitchFault {
+        override val remedy: String
+            get() = "Start again at a higher term with more steps ahead."
+    }
+}
+
+/** Phase of a map switch, in order. */
+public enum class MapSwitchPhase { COLLECT, RECOVER, PREPARE, ARM, CONFIRM, ENDED }
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchPlan.kt
@@ -0,0 +1,67 @@
+package org.vanilladale.core.rankgroup
+
+import org.vanilladale.schema.ArmedMap
+import org.vanilladale.schema.Digest
+import org.vanilladale.schema.GroupId
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Step
+import org.vanilladale.schema.Term
+import org.vanilladale.schema.VmId
+
+/**
+ * One intended map switch.
+ *
+ * @property digest map to switch to; it must differ from the active map
+ * @property switchStep gives the switch step for the latest step seen at the start
+ * @property sameMap tells whether two armed maps belong to one switch
+ */
+public class MapSwitchPlan private constructor(builder: Builder) {
+    public val group: GroupId = builder.group
+    public val holder: VmId = builder.holder
+    public val term: Term = builder.term
+    public val digest: Digest = builder.digest
+    public val ranks: Set<Rank> = builder.placement.ranks
+    public val placement: List<Rank> = builder.placement.rankOfExpert
+    public val leaseMilliseconds: Long = builder.leaseMilliseconds
+    public val retryMilliseconds: Long = builder.retryMilliseconds
+    public val switchStep: (Step) -> Step = builder.switchStep
+    public val sameMap: (ArmedMap, ArmedMap) -> Boolean = builder.sameMap
+
+    /** Ranks of the group and the rank of each expert. */
+    public data class Placement(val ranks: Set<Rank>, val rankOfExpert: List<Rank>)
+
+    /** Collects the parts of a plan. */
+    public class Builder internal constructor(
+        internal val group: GroupId,
+        internal val holder: VmId,
+        internal val term: Term,
+    ) {
+        public lateinit var placement: Placement
+        private var digestText: String? = null
+        public var digest: Digest
+            get() = Digest.parse(checkNotNull(digestText) { "set the digest of the map" })
+            set(value) {
+                digestText = value.text
+            }
+        public var leaseMilliseconds: Long = DEFAULT_LEASE_MILLISECONDS
+        public var retryMilliseconds: Long = DEFAULT_RETRY_MILLISECONDS
+        public var switchStep: (Step) -> Step = { Step(it.value + DEFAULT_STEPS_AHEAD) }
+        public var sameMap: (ArmedMap, ArmedMap) -> Boolean = { left, right -> left == right }
+
+        internal fun build() = MapSwitchPlan(this)
+    }
+
+    public companion object {
+        private const val DEFAULT_LEASE_MILLISECONDS = 2_000L
+        private const val DEFAULT_RETRY_MILLISECONDS = 100L
+        private const val DEFAULT_STEPS_AHEAD = 30L
+
+        /** Builds the plan of [holder] for [group] under [term]. */
+        public fun plan(
+            group: GroupId,
+            holder: VmId,
+            term: Term,
+            configure: Builder.() -> Unit,
+        ): MapSwitchPlan = Builder(group, holder, term).apply(configure).build()
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchProofTest.kt
@@ -0,0 +1,132 @@
+package org.vanilladale.core.rankgroup
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.schema.ArmedMap
+import org.vanilladale.schema.Digest
+import org.vanilladale.schema.Step
+import org.vanilladale.schema.Term
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+class MapSwitchProofTest {
+    private class Counts(val runs: List<RankGroupSimulation>) {
+        val broken = runs.count { it.brokenSteps > 0 }
+        val stuck = runs.count { !it.recoveredWithin(RECOVERY) }
+        val framesAfterLease = runs.sumOf { it.framesAfterLease }
+
+        override fun toString() = "broken $broken/${runs.size}, stuck $stuck, frames after lease " +
+            "$framesAfterLease, switches ${runs.sumOf { it.completedAt.size }}, steps " +
+            "${runs.sumOf { it.history.size }}, held ticks ${runs.sumOf { it.heldTicks }}"
+    }
+
+    private fun counts(seeds: IntRange, removed: Removed, fencing: Boolean, ranks: (Int) -> Int) =
+        Counts(
+            seeds.map { seed ->
+                RankGroupSimulation(Setup(seed, ranks(seed), fencing, removed, FAULTS))
+                    .run(FAULTS + RECOVERY)
+            },
+        ).also { println("rank group: fencing=$fencing without $removed: $it") }
+
+    @Test
+    fun `each step runs one map under faults and each missing rule is seen`() {
+        listOf(true, false).forEach { fencing ->
+            val found = Removed.entries.associateWith { removed ->
+                counts(1..SEEDS, removed, fencing) { if (it % 2 == 0) 4 else 8 }
+            }
+            val whole = found.getValue(Removed.NOTHING)
+            expectThat(whole.broken).isEqualTo(0)
+            expectThat(whole.stuck).isEqualTo(0)
+            expectThat(whole.framesAfterLease).isEqualTo(0)
+            expectThat(found.getValue(Removed.COMPARE_VERSION_ONLY).broken).isGreaterThan(0)
+            expectThat(found.getValue(Removed.READ_BACK_AFTER_RESTART).broken).isGreaterThan(0)
+            expectThat(found.getValue(Removed.LEASE_RECHECK).framesAfterLease).isGreaterThan(0)
+            if (!fencing) {
+                expectThat(found.getValue(Removed.WAIT_AFTER_RESTART).broken).isGreaterThan(0)
+            }
+        }
+    }
+
+    @Test
+    fun `32 ranks keep one map per step under faults`() {
+        listOf(true, false).forEach { fencing ->
+            val found = counts(1..12, Removed.NOTHING, fencing) { 32 }
+            expectThat(found.broken).isEqualTo(0)
+            expectThat(found.stuck).isEqualTo(0)
+        }
+    }
+
+    /** Broken runs when an old order reaches the engine of rank 0 at each of 200 times. */
+    private fun brokenByLateHold(removed: Removed, fencing: Boolean, overwrites: Boolean): Int =
+        (1L..400L step 2).count { at ->
+            val stale = ArmedMap(Term(0), Digest.parse("v1-stale"), Step(at / 10 + 30))
+            val setup = Setup(
+                1,
+                4,
+                fencing,
+                removed,
+                faultsUntil = 0,
+                lateHold = LateHold(at, stale, overwrites),
+            )
+            RankGroupSimulation(setup).run(6_000).brokenSteps > 0
+        }
+
+    @Test
+    fun `a map of an older term does not count as the map of a later switch`() {
+        val rules =
+            listOf(Removed.NOTHING, Removed.COMPARE_TERM_ONLY, Removed.COMPARE_VERSION_ONLY)
+        val broken = rules.associateWith { brokenByLateHold(it, false, overwrites = false) }
+        println("rank group: map of an older term at one engine, broken of 200: $broken")
+        expectThat(broken.getValue(Removed.NOTHING)).isEqualTo(0)
+        expectThat(broken.getValue(Removed.COMPARE_VERSION_ONLY)).isGreaterThan(0)
+    }
+
+    /**
+     * Limit of the protocol: an engine that ignores fencing must get no order that is older than
+     * the longest lease. An engine that keeps fencing numbers rejects it.
+     */
+    @Test
+    fun `an order older than the longest lease is rejected only by an engine that fences`() {
+        val broken = listOf(true, false).associateWith { fencing ->
+            brokenByLateHold(Removed.NOTHING, fencing, overwrites = true)
+        }
+        println("rank group: order older than the longest lease, broken of 200: $broken")
+        expectThat(broken.getValue(true)).isEqualTo(0)
+        expectThat(broken.getValue(false)).isGreaterThan(0)
+    }
+
+    @Test
+    fun `messages per switch grow by 9 a rank and no step is held without faults`() {
+        val sizes = listOf(4, 8, 16, 32)
+        val runs = sizes.map { ranks ->
+            val setup = Setup(
+                1,
+                ranks,
+                keepsFencing = true,
+                faultsUntil = 0,
+                coordinatorCount = 1,
+                experts = 256,
+                measured = true,
+            )
+            RankGroupSimulation(setup).runFirstSwitch()
+        }
+        sizes.zip(runs).forEach { (ranks, run) ->
+            println(
+                "rank group: $ranks ranks, ${run.frames} messages, ${run.bytes} bytes, " +
+                    "${run.heldTicks} held ticks, switch in ${run.completedAt.first()} ms",
+            )
+            expectThat(run.frames).isEqualTo(9L * ranks)
+            expectThat(run.heldTicks).isEqualTo(0)
+        }
+        val slope = (runs.last().bytes - runs.first().bytes) / (sizes.last() - sizes.first())
+        println("rank group: $slope bytes a rank and switch")
+        expectThat(slope).isLessThan(3_000)
+    }
+
+    private companion object {
+        const val SEEDS = 300
+        const val FAULTS = 5_000L
+        const val RECOVERY = 7_000L
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankGroupSimulation.kt
@@ -0,0 +1,396 @@
+package org.vanilladale.core.rankgroup
+
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import org.vanilladale.schema.ArmedMap
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Digest
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.GroupId
+import org.vanilladale.schema.LeaseRelease
+import org.vanilladale.schema.LeaseReply
+import org.vanilladale.schema.LeaseRequest
+import org.vanilladale.schema.MapState
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.RankMapState
+import org.vanilladale.schema.Step
+import org.vanilladale.schema.Term
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.VmId
+
+internal enum class Removed {
+    NOTHING,
+    COMPARE_TERM_ONLY,
+    COMPARE_VERSION_ONLY,
+    READ_BACK_AFTER_RESTART,
+    WAIT_AFTER_RESTART,
+    LEASE_RECHECK,
+}
+
+/** Order of a dead agent incarnation that reaches the engine of rank 0 at [at]. */
+internal data class LateHold(val at: Long, val map: ArmedMap, val overwrites: Boolean)
+
+internal data class Setup(
+    val seed: Int,
+    val rankCount: Int,
+    val keepsFencing: Boolean,
+    val removed: Removed = Removed.NOTHING,
+    val faultsUntil: Long = 6_000,
+    val latestOrder: Long = 1_400,
+    val coordinatorCount: Int = 2,
+    val experts: Int = 8,
+    val measured: Boolean = false,
+    val lateHold: LateHold? = null,
+)
+
+/** Seeded run of a rank group, its coordinators, network and engines in virtual milliseconds. */
+internal class RankGroupSimulation(private val setup: Setup) {
+    private class Event(val at: Long, val order: Long, val run: () -> Unit)
+
+    private val random = Random(setup.seed)
+    private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private var eventCount = 0L
+    private var now = 0L
+    private val group = GroupId.parse("group")
+    private val ranks = List(setup.rankCount) { Rank(it) }.toSet()
+    private val initial = Digest.parse("v0-initial")
+    private val engines = List(setup.rankCount) { SimulatedEngine(setup.keepsFencing, initial) }
+    private var partition: Set<Int> = emptySet()
+
+    /** Map digest of each rank for each executed step, and the time of the step. */
+    val history = mutableListOf<Pair<Long, List<Digest>>>()
+    var heldTicks = 0L
+    var framesAfterLease = 0L
+    val completedAt = mutableListOf<Long>()
+    var frames = 0L
+    var bytes = 0L
+
+    private val faulty get() = now < setup.faultsUntil
+    private val timestamp get() = Timestamp.fromEpochMilliseconds(now)
+    private val sameMap: (ArmedMap, ArmedMap) -> Boolean = { left, right ->
+        when (setup.removed) {
+            Removed.COMPARE_TERM_ONLY -> left.term == right.term
+            Removed.COMPARE_VERSION_ONLY -> version(left.digest) == version(right.digest)
+            else -> left == right
+        }
+    }
+    private val agents = List(setup.rankCount) { Agent(it) }
+    private val coordinators = List(setup.coordinatorCount) { Coordinator(setup.rankCount + it) }
+
+    val brokenSteps: Int get() = history.count { (_, digests) -> digests.distinct().size > 1 }
+
+    /** True when both steps and a new switch completed within [milliseconds] of the last fault. */
+    fun recoveredWithin(milliseconds: Long): Boolean {
+        val window = setup.faultsUntil..setup.faultsUntil + milliseconds
+        return completedAt.any { it in window } && history.any { it.first in window }
+    }
+
+    /** Runs until the first switch has completed and its last frames have arrived. */
+    fun runFirstSwitch(): RankGroupSimulation {
+        at(1) { tick() }
+        while (completedAt.isEmpty()) step()
+        val end = now + 20
+        while (events.peek().at <= end) step()
+        return this
+    }
+
+    private fun step() {
+        val event = events.poll()
+        now = event.at
+        event.run()
+    }
+
+    fun run(until: Long): RankGroupSimulation {
+        scheduleFaults()
+        setup.lateHold?.let { late ->
+            at(late.at) {
+                if (late.overwrites || engines[0].held == null) {
+                    engines[0].apply(EngineOrder.Hold(late.map.term, late.map))
+                }
+            }
+        }
+        at(1) { tick() }
+        while (events.isNotEmpty() && events.peek().at <= until) step()
+        return this
+    }
+
+    private fun tick() {
+        engines.forEach { it.tryEnter(now) }
+        if (engines.any { it.isHolding }) heldTicks++
+        if (engines.all { it.entered }) {
+            history += now to engines.map { it.active }
+            engines.forEach { it.completeStep() }
+        }
+        agents.forEach { it.tick() }
+        coordinators.forEach { it.tick() }
+        at(10) { tick() }
+    }
+
+    private fun at(delay: Long, run: () -> Unit) {
+        events += Event(now + delay, eventCount++, run)
+    }
+
+    private fun chance(percent: Int) = faulty && random.nextInt(100) < percent
+
+    private fun scheduleFaults() {
+        if (setup.faultsUntil == 0L) return
+        repeat(4) { at(moment()) { agents.random(random).die() } }
+        repeat(3) {
+            at(moment()) { engines.random(random).stalledUntil = now + random.nextLong(50, 900) }
+        }
+        repeat(2) { at(moment()) { coordinators.random(random).pause() } }
+        if (random.nextInt(4) == 0) at(moment()) { agents.forEach { it.die() } }
+        at(moment()) {
+            partition =
+                (0 until setup.rankCount + setup.coordinatorCount).filter {
+                    random.nextBoolean()
+                }.toSet()
+            at(random.nextLong(200, 2_500)) { partition = emptySet() }
+        }
+    }
+
+    private fun moment() = random.nextLong(setup.faultsUntil)
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun send(from: Int, to: Int, frame: Frame) {
+        frames++
+        if (setup.measured) bytes += Cbor.encodeToByteArray(Frame.serializer(), frame).size
+        val copies = if (chance(6)) {
+            0
+        } else if (chance(6)) {
+            2
+        } else {
+            1
+        }
+        repeat(copies) {
+            val delay = if (chance(6)) random.nextLong(50, 1_400) else random.nextLong(1, 4)
+            at(delay) {
+                val cut = partition.isNotEmpty() && (from in partition) != (to in partition)
+                if (!cut) receive(from, to, frame)
+            }
+        }
+    }
+
+    private fun receive(from: Int, to: Int, frame: Frame) {
+        if (to < setup.rankCount) {
+            agents[to].receive(from, frame)
+        } else {
+            coordinators[to - setup.rankCount].receive(frame)
+        }
+    }
+
+    private inner class Agent(val index: Int) {
+        private val engine get() = engines[index]
+        private var incarnation = 0
+        private var alive = true
+        private var settled = true
+        private var restarted = false
+        private var holder: Int? = null
+        private var lastOrderAt = 0L
+        private var gate = EngineOrderGate()
+        private var lease = RankLease(LEASE, Deadline.fromEpochMilliseconds(0))
+        private var member = newMember()
+
+        init {
+            member.onReadBack(engine.readBack(), timestamp)
+        }
+
+        private fun newMember() = RankMapMember(group, Rank(index), ranks, 50, sameMap)
+
+        fun die() {
+            if (!alive) return
+            alive = false
+            incarnation++
+            at(random.nextLong(10, 300)) { restart() }
+        }
+
+        private fun restart() {
+            alive = true
+            restarted = true
+            holder = null
+            settled = false
+            lastOrderAt = now
+            gate = EngineOrderGate()
+            val wait = if (setup.removed == Removed.WAIT_AFTER_RESTART) 0 else LEASE
+            lease = RankLease(LEASE, timestamp.deadlineAfter(wait))
+            member = newMember()
+            engine.readBack().term?.let {
+                lease.restore(it)
+                gate.promise(it)
+            }
+        }
+
+        fun tick() {
+            if (!alive) return
+            settled = settled || lease.isSettled(timestamp)
+            if (settled) act(member.onReadBack(engine.readBack(), timestamp))
+        }
+
+        fun receive(from: Int, frame: Frame) {
+            if (!alive) return
+            if (from >= setup.rankCount) holder = from
+            when (frame) {
+                is LeaseRequest -> request(from, frame)
+                is LeaseRelease -> lease.release(frame)
+                else -> act(member.onFrame(frame))
+            }
+        }
+
+        private fun request(from: Int, frame: LeaseRequest) {
+            val decision = lease.request(frame, timestamp)
+            if (decision.granted && settled) {
+                gate.promise(frame.term)
+                act(member.promise(frame.term))
+            } else {
+                val reply = LeaseReply(
+                    group,
+                    Rank(index),
+                    false,
+                    frame.term,
+                    decision.highestTerm,
+                    decision.grantedFrom,
+                )
+                send(index, from, reply)
+            }
+        }
+
+        private fun act(actions: List<MemberAction>): Unit = actions.forEach { action ->
+            when (action) {
+                is MemberAction.ToHolder -> holder?.let { send(index, it, action.frame) }
+
+                is MemberAction.ToRank -> send(index, action.rank.value, mutated(action.frame))
+
+                is MemberAction.Order -> order(action.order)
+
+                is MemberAction.Grant -> holder?.let {
+                    val state = mutated(action.state)
+                    val reply = LeaseReply(
+                        group,
+                        Rank(index),
+                        true,
+                        action.term,
+                        lease.highestTerm,
+                        mapState = state,
+                    )
+                    send(index, it, reply)
+                }
+            }
+        }
+
+        private fun mutated(state: RankMapState): RankMapState =
+            if (restarted && setup.removed == Removed.READ_BACK_AFTER_RESTART) {
+                RankMapState(initial, Step(0))
+            } else {
+                state
+            }
+
+        private fun mutated(frame: Frame): Frame =
+            if (frame is MapState) frame.copy(state = frame.state?.let { mutated(it) }) else frame
+
+        private fun order(order: EngineOrder) {
+            val sender = incarnation
+            lastOrderAt = maxOf(lastOrderAt, now + random.nextLong(1, if (faulty) 60 else 3))
+            at(lastOrderAt - now) {
+                if (sender == incarnation) {
+                    if (gate.admit(order)) engine.apply(order)
+                    if (order !is EngineOrder.Fence) restarted = false
+                    act(member.onOrderDone(order, engine.readBack(), timestamp))
+                } else if (random.nextInt(10) < 9) {
+                    at(random.nextLong(1, setup.latestOrder)) { engine.apply(order) }
+                }
+            }
+        }
+    }
+
+    private inner class Coordinator(val index: Int) {
+        private val inbox = mutableListOf<Frame>()
+        private var running: MapSwitchCoordinator? = null
+        private var startedAt = 0L
+        private var startAt = random.nextLong(1, 400)
+        private var pausedUntil = 0L
+        private var term = 0L
+        private var count = 0
+
+        fun pause() {
+            pausedUntil = now + random.nextLong(500, 4_000)
+        }
+
+        fun receive(frame: Frame) {
+            if (now < pausedUntil) inbox += frame else handle(frame)
+        }
+
+        private fun handle(frame: Frame) {
+            if (frame is LeaseReply) term = maxOf(term, frame.highestTerm.value)
+            running?.let { sendAll(it, it.onFrame(frame, timestamp)) }
+        }
+
+        fun tick() {
+            if (now < pausedUntil) return
+            inbox.toList().also { inbox.clear() }.forEach { handle(it) }
+            val current = running
+            when {
+                current == null -> if (now >= startAt) begin()
+                now - startedAt > 3 * LEASE -> finish()
+                else -> sendAll(current, current.tick(timestamp))
+            }
+        }
+
+        private fun begin() {
+            val next = engines.maxOf { version(it.active) } + 1
+            val recheck = setup.removed != Removed.LEASE_RECHECK
+            val plan = MapSwitchPlan.plan(group, VmId.parse("c$index"), Term(++term)) {
+                placement = MapSwitchPlan.Placement(
+                    ranks,
+                    List(setup.experts) { Rank(it % setup.rankCount) },
+                )
+                digest = Digest.parse("v$next-c$index-${count++}-".padEnd(64, '0'))
+                // Ranks cap the lease; the longer one is a holder that never rechecks.
+                leaseMilliseconds = if (recheck) LEASE else 3 * LEASE
+                sameMap = this@RankGroupSimulation.sameMap
+            }
+            val created = MapSwitchCoordinator(plan, timestamp)
+            running = created
+            startedAt = now
+            sendAll(created, created.start(timestamp))
+        }
+
+        private fun sendAll(current: MapSwitchCoordinator, batch: List<CoordinatorFrame>) {
+            if (current !== running) return
+            val dies = batch.isNotEmpty() && chance(8)
+            val sent = if (dies) batch.shuffled(random).take(random.nextInt(batch.size)) else batch
+            sent.forEach { send(index, it.rank.value, it.frame) }
+            if (now - startedAt >= LEASE) framesAfterLease += sent.size
+            if (dies) dieWithCoordinator(sent.map { it.rank.value })
+            if (sent.isNotEmpty() && chance(8)) {
+                val victim = agents[sent.random(random).rank.value]
+                at(random.nextLong(1, 80)) { victim.die() }
+            }
+            if (batch.isNotEmpty() && chance(3)) pause()
+            if (current.result?.isRight() == true) completedAt += now
+            if (dies || current.result != null) finish()
+        }
+
+        /** Agents that share the fate of a coordinator which died while sending to [reached]. */
+        private fun dieWithCoordinator(reached: List<Int>) {
+            val victims = when (random.nextInt(5)) {
+                0 -> emptyList()
+                1, 2 -> agents
+                else -> reached.map { agents[it] }
+            }
+            victims.forEach { at(random.nextLong(4, 40)) { it.die() } }
+        }
+
+        private fun finish() {
+            running = null
+            startAt = now + random.nextLong(50, 700)
+        }
+    }
+
+    companion object {
+        const val LEASE = 2_000L
+
+        fun version(digest: Digest): Int = digest.text.substringBefore('-').drop(1).toInt()
+    }
+}
