Renew the lease while weights load and count the switch step from the end of loading

Cause: loading from the rate-limited weight store can outlast a lease of 2 s. With renewal alone a preload of 5 s still completed no switch: the switch step was counted from the state collected before loading and had passed at every rank. Ruled out: a longer lease, because a restarted rank waits out the longest one; counting any granted reply as a renewal, because a late reply would lengthen the holder's lease beyond the rank's.

--- a/core/src/main/kotlin/org/vanilladale/core/rankgroup/EngineOrder.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/EngineOrder.kt
@@ -16,7 +16,10 @@
     /** Raises the engine's term, if it keeps one; its answer follows all earlier orders. */
     public data class Fence(override val term: Term) : EngineOrder
 
-    /** Loads the expert weights of the map [digest] without using them. */
+    /**
+     * Loads the expert weights of the map [digest] without using them. It can take long and does
+     * not keep later orders waiting.
+     */
     public data class Preload(override val term: Term, val digest: Digest) : EngineOrder
 
     /** Makes the engine stop before `map.switchStep` until [Activate] or [Release]. */
--- a/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchCoordinator.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchCoordinator.kt
@@ -33,14 +33,23 @@
  *
  * The lease ends on the holder's clock [MapSwitchPlan.leaseMilliseconds] after the first request
  * was sent, so never later than at a rank, which counts from its grant. Every call checks the lease
- * before it returns a frame. A holder never aborts a map that it armed itself: the ranks may have
- * confirmed it among themselves, so only a holder of a higher term can tell.
+ * before it returns a frame. The lease is renewed only while weights are loaded; the other phases
+ * are short, so a silent rank ends the switch within the lease.
+ *
+ * A holder never aborts a map that it armed itself: the ranks may have confirmed it among
+ * themselves, so only a holder of a higher term can tell.
  */
 public class MapSwitchCoordinator(private val plan: MapSwitchPlan, now: Timestamp) {
-    private val leaseEnd: Deadline = now.deadlineAfter(plan.leaseMilliseconds)
+    private val preloadEnd: Deadline = now.deadlineAfter(plan.preloadMilliseconds)
+    private var leaseEnd: Deadline = now.deadlineAfter(plan.leaseMilliseconds)
     private var retryAt: Deadline = now.deadlineAfter(plan.retryMilliseconds)
+    private var renewAt: Deadline = now.deadlineAfter(plan.leaseMilliseconds / 2)
+    private var renewedEnd: Deadline = leaseEnd
+    private val renewing = mutableSetOf<Rank>()
+    private var request = 0L
     private val waiting = plan.ranks.toMutableSet()
     private val states = mutableMapOf<Rank, RankMapState>()
+    private var preparedStep = Step(0)
     private var unfinished: ArmedMap? = null
     private var armed: ArmedMap? = null
 
@@ -57,20 +66,30 @@
 
     /** Repeats unanswered frames when the retry deadline has passed; ends with the lease. */
     public fun tick(now: Timestamp): List<CoordinatorFrame> = guarded(now) {
+        val renewable = phase == MapSwitchPhase.PREPARE && !preloadEnd.hasPassed(now)
+        if (renewable && renewAt.hasPassed(now)) return@guarded renew(now)
         if (!retryAt.hasPassed(now)) return@guarded emptyList()
         retryAt = now.deadlineAfter(plan.retryMilliseconds)
-        frames()
+        frames() + renewing.map { CoordinatorFrame(it, leaseRequest()) }
+    }
+
+    private fun renew(now: Timestamp): List<CoordinatorFrame> {
+        request++
+        renewAt = now.deadlineAfter(plan.leaseMilliseconds / 2)
+        renewedEnd = now.deadlineAfter(plan.leaseMilliseconds)
+        renewing += plan.ranks
+        return renewing.map { CoordinatorFrame(it, leaseRequest()) }
     }
 
+    private fun leaseRequest() =
+        LeaseRequest(plan.group, plan.holder, plan.term, request, plan.leaseMilliseconds)
+
     /** Handles the answer of a rank; answers to other terms or phases change nothing. */
     public fun onFrame(frame: Frame, now: Timestamp): List<CoordinatorFrame> = guarded(now) {
         val answered = when (frame) {
             is LeaseReply -> onLeaseReply(frame)
 
-            is MapPrepared -> frame.rank.takeIf {
-                phase == MapSwitchPhase.PREPARE && frame.term == plan.term &&
-                    frame.digest == plan.digest
-            }
+            is MapPrepared -> onPrepared(frame)
 
             is MapArmed -> frame.rank.takeIf {
                 phase == MapSwitchPhase.ARM && armed?.let { plan.sameMap(it, frame.armed) } == true
@@ -86,21 +105,34 @@
     }
 
     private fun onLeaseReply(reply: LeaseReply): Rank? {
-        if (phase != MapSwitchPhase.COLLECT) return null
+        // A late reply to an earlier request would otherwise lengthen the lease beyond the rank's.
+        if (reply.term != plan.term || reply.request != request) return null
+        if (phase != MapSwitchPhase.COLLECT) {
+            val renewed = reply.granted && renewing.remove(reply.rank) && renewing.isEmpty()
+            if (renewed) leaseEnd = renewedEnd
+            return null
+        }
         if (!reply.granted) {
-            if (reply.term != plan.term || reply.rank !in waiting) return null
+            if (reply.rank !in waiting) return null
             end(
                 MapSwitchFault.LeaseRefused(reply.rank, reply.highestTerm, reply.grantedFrom)
                     .left(),
             )
             return null
         }
-        val state = reply.mapState
-        if (reply.term != plan.term || state == null) return null
+        val state = reply.mapState ?: return null
         states[reply.rank] = state
         return reply.rank
     }
 
+    private fun onPrepared(frame: MapPrepared): Rank? {
+        if (phase != MapSwitchPhase.PREPARE) return null
+        if (frame.term != plan.term || frame.digest != plan.digest) return null
+        // Loading can take longer than the steps ahead; the switch step counts from its end.
+        preparedStep = maxOf(preparedStep, frame.step)
+        return frame.rank
+    }
+
     private fun onState(frame: MapState): Rank? {
         val state = frame.state
         if (frame.term != plan.term || state == null) return null
@@ -168,16 +200,19 @@
         }
     }
 
-    private fun latestStep(): Step =
-        (states.values.map { it.step } + states.values.mapNotNull { it.armed?.switchStep }).max()
+    private fun latestStep(): Step = maxOf(
+        preparedStep,
+        states.values.mapNotNull {
+            it.armed?.switchStep
+        }.maxOrNull() ?: Step(0),
+    )
 
     private fun frames(): List<CoordinatorFrame> = waiting.map { rank ->
         CoordinatorFrame(rank, frameFor(rank))
     }
 
     private fun frameFor(rank: Rank): Frame = when (phase) {
-        MapSwitchPhase.COLLECT ->
-            LeaseRequest(plan.group, plan.holder, plan.term, plan.leaseMilliseconds)
+        MapSwitchPhase.COLLECT -> leaseRequest()
 
         MapSwitchPhase.RECOVER -> {
             val map = unfinished
--- a/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchPlan.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchPlan.kt
@@ -12,6 +12,7 @@
  * One intended map switch.
  *
  * @property digest map to switch to; it must differ from the active map
+ * @property preloadMilliseconds longest time in which the lease is renewed while weights are loaded
  * @property switchStep gives the switch step for the latest step seen at the start
  * @property sameMap tells whether two armed maps belong to one switch
  */
@@ -24,6 +25,7 @@
     public val placement: List<Rank> = builder.placement.rankOfExpert
     public val leaseMilliseconds: Long = builder.leaseMilliseconds
     public val retryMilliseconds: Long = builder.retryMilliseconds
+    public val preloadMilliseconds: Long = builder.preloadMilliseconds
     public val switchStep: (Step) -> Step = builder.switchStep
     public val sameMap: (ArmedMap, ArmedMap) -> Boolean = builder.sameMap
 
@@ -45,6 +47,7 @@
             }
         public var leaseMilliseconds: Long = DEFAULT_LEASE_MILLISECONDS
         public var retryMilliseconds: Long = DEFAULT_RETRY_MILLISECONDS
+        public var preloadMilliseconds: Long = DEFAULT_PRELOAD_MILLISECONDS
         public var switchStep: (Step) -> Step = { Step(it.value + DEFAULT_STEPS_AHEAD) }
         public var sameMap: (ArmedMap, ArmedMap) -> Boolean = { left, right -> left == right }
 
@@ -54,6 +57,7 @@
     public companion object {
         private const val DEFAULT_LEASE_MILLISECONDS = 2_000L
         private const val DEFAULT_RETRY_MILLISECONDS = 100L
+        private const val DEFAULT_PRELOAD_MILLISECONDS = 60_000L
         private const val DEFAULT_STEPS_AHEAD = 30L
 
         /** Builds the plan of [holder] for [group] under [term]. */
--- a/core/src/main/kotlin/org/vanilladale/core/rankgroup/RankMapMember.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/RankMapMember.kt
@@ -53,6 +53,8 @@
     private var engine: EngineReadBack? = null
     private var promised: Term = Term(0)
     private var ordered: ArmedMap? = null
+    private var fenced: Term? = null
+    private var loading: Digest? = null
     private var confirmed = false
     private var prepared: Digest? = null
     private var ordersInFlight = 0
@@ -93,7 +95,9 @@
     /** Promises [term]; the grant is sent after the engine has answered the fence. */
     public fun promise(term: Term): List<MemberAction> {
         if (term < promised) return drop()
+        state?.takeIf { fenced == term }?.let { return listOf(MemberAction.Grant(term, it)) }
         promised = term
+        loading = null
         peers.clear()
         query++
         return order(EngineOrder.Fence(term))
@@ -106,18 +110,22 @@
         now: Timestamp,
     ): List<MemberAction> {
         val asked = onReadBack(readBack, now)
-        ordersInFlight--
-        return asked + reply(order)
+        if (order !is EngineOrder.Preload) ordersInFlight--
+        return asked + reply(order, readBack)
     }
 
-    private fun reply(order: EngineOrder): List<MemberAction> {
+    private fun reply(order: EngineOrder, readBack: EngineReadBack): List<MemberAction> {
         if (order.term != promised) return emptyList()
         return when (order) {
-            is EngineOrder.Fence -> listOf(MemberAction.Grant(order.term, checkNotNull(state)))
+            is EngineOrder.Fence -> {
+                fenced = order.term
+                listOf(MemberAction.Grant(order.term, checkNotNull(state)))
+            }
 
             is EngineOrder.Preload -> {
+                loading = null
                 prepared = order.digest
-                listOf(toHolder(MapPrepared(group, rank, order.term, order.digest)))
+                listOf(toHolder(MapPrepared(group, rank, readBack.step, order.term, order.digest)))
             }
 
             is EngineOrder.Hold -> armedReply()
@@ -131,7 +139,7 @@
         if (engine == null) return drop()
         return when (frame) {
             is MapPrepare -> ifPromised(frame.term) {
-                order(EngineOrder.Preload(frame.term, frame.digest))
+                preload(frame)
             }
 
             is MapArm -> ifPromised(frame.armed.term) { arm(frame.armed) }
@@ -153,6 +161,12 @@
         }
     }
 
+    private fun preload(frame: MapPrepare): List<MemberAction> {
+        if (loading == frame.digest) return emptyList()
+        loading = frame.digest
+        return listOf(MemberAction.Order(EngineOrder.Preload(frame.term, frame.digest)))
+    }
+
     private fun arm(map: ArmedMap): List<MemberAction> {
         if (armed != null) return armedReply()
         if (prepared != map.digest) return drop()
--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchProofTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchProofTest.kt
@@ -96,6 +96,15 @@
         expectThat(broken.getValue(false)).isGreaterThan(0)
     }
 
+    @Test
+    fun `a preload that outlasts the lease completes because the lease is renewed`() {
+        val run = RankGroupSimulation(Setup(1, 8, true, faultsUntil = 0, preload = 5_000))
+            .run(7_000)
+        expectThat(run.completedAt.size).isEqualTo(1)
+        expectThat(run.framesAfterLease).isEqualTo(0)
+        expectThat(run.brokenSteps).isEqualTo(0)
+    }
+
     @Test
     fun `messages per switch grow by 9 a rank and no step is held without faults`() {
         val sizes = listOf(4, 8, 16, 32)
--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankGroupSimulation.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankGroupSimulation.kt
@@ -43,6 +43,7 @@
     val experts: Int = 8,
     val measured: Boolean = false,
     val lateHold: LateHold? = null,
+    val preload: Long = 0,
 )
 
 /** Seeded run of a rank group, its coordinators, network and engines in virtual milliseconds. */
@@ -57,6 +58,7 @@
     private val ranks = List(setup.rankCount) { Rank(it) }.toSet()
     private val initial = Digest.parse("v0-initial")
     private val engines = List(setup.rankCount) { SimulatedEngine(setup.keepsFencing, initial) }
+    private val grants = mutableMapOf<Int, Pair<Term, Long>>()
     private var partition: Set<Int> = emptySet()
 
     /** Map digest of each rank for each executed step, and the time of the step. */
@@ -189,6 +191,7 @@
         private var restarted = false
         private var holder: Int? = null
         private var lastOrderAt = 0L
+        private var lastRequest = 0L
         private var gate = EngineOrderGate()
         private var lease = RankLease(LEASE, Deadline.fromEpochMilliseconds(0))
         private var member = newMember()
@@ -230,17 +233,23 @@
 
         fun receive(from: Int, frame: Frame) {
             if (!alive) return
-            if (from >= setup.rankCount) holder = from
             when (frame) {
                 is LeaseRequest -> request(from, frame)
                 is LeaseRelease -> lease.release(frame)
-                else -> act(member.onFrame(frame))
+                else -> {
+                    if (from >= setup.rankCount) holder = from
+                    act(member.onFrame(frame))
+                }
             }
         }
 
         private fun request(from: Int, frame: LeaseRequest) {
             val decision = lease.request(frame, timestamp)
             if (decision.granted && settled) {
+                holder = from
+                val length = minOf(frame.leaseMilliseconds, LEASE)
+                grants[index] = frame.term to now + length
+                lastRequest = frame.request
                 gate.promise(frame.term)
                 act(member.promise(frame.term))
             } else {
@@ -249,6 +258,7 @@
                     Rank(index),
                     false,
                     frame.term,
+                    frame.request,
                     decision.highestTerm,
                     decision.grantedFrom,
                 )
@@ -271,6 +281,7 @@
                         Rank(index),
                         true,
                         action.term,
+                        lastRequest,
                         lease.highestTerm,
                         mapState = state,
                     )
@@ -291,8 +302,10 @@
 
         private fun order(order: EngineOrder) {
             val sender = incarnation
-            lastOrderAt = maxOf(lastOrderAt, now + random.nextLong(1, if (faulty) 60 else 3))
-            at(lastOrderAt - now) {
+            val arrival = now + random.nextLong(1, if (faulty) 60 else 3)
+            if (order !is EngineOrder.Preload) lastOrderAt = maxOf(lastOrderAt, arrival)
+            val loaded = arrival + setup.preload
+            at((if (order is EngineOrder.Preload) loaded else lastOrderAt) - now) {
                 if (sender == incarnation) {
                     if (gate.admit(order)) engine.apply(order)
                     if (order !is EngineOrder.Fence) restarted = false
@@ -358,10 +371,12 @@
 
         private fun sendAll(current: MapSwitchCoordinator, batch: List<CoordinatorFrame>) {
             if (current !== running) return
-            val dies = batch.isNotEmpty() && chance(8)
+            // Most rules matter only when a confirmation reaches some of the ranks.
+            val confirming = current.phase == MapSwitchPhase.CONFIRM
+            val dies = batch.isNotEmpty() && chance(if (confirming) 40 else 5)
             val sent = if (dies) batch.shuffled(random).take(random.nextInt(batch.size)) else batch
             sent.forEach { send(index, it.rank.value, it.frame) }
-            if (now - startedAt >= LEASE) framesAfterLease += sent.size
+            framesAfterLease += sent.count { isAfterLease(it) }
             if (dies) dieWithCoordinator(sent.map { it.rank.value })
             if (sent.isNotEmpty() && chance(8)) {
                 val victim = agents[sent.random(random).rank.value]
@@ -372,6 +387,12 @@
             if (dies || current.result != null) finish()
         }
 
+        private fun isAfterLease(sent: CoordinatorFrame): Boolean {
+            if (sent.frame is LeaseRequest || sent.frame is LeaseRelease) return false
+            val (granted, expiry) = grants[sent.rank.value] ?: return false
+            return granted.value == term && now >= expiry
+        }
+
         /** Agents that share the fate of a coordinator which died while sending to [reached]. */
         private fun dieWithCoordinator(reached: List<Int>) {
             val victims = when (random.nextInt(5)) {
