--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchProofTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchProofTest.kt
@@ -33,7 +33,8 @@
     fun `each step runs one map under faults and each missing rule is seen`() {
         listOf(true, false).forEach { fencing ->
             val found = Removed.entries.associateWith { removed ->
-                counts(1..SEEDS, removed, fencing) { if (it % 2 == 0) 4 else 8 }
+                val seeds = if (removed == Removed.NOTHING) WHOLE_SEEDS else SEEDS
+                counts(1..seeds, removed, fencing) { if (it % 2 == 0) 4 else 8 }
             }
             val whole = found.getValue(Removed.NOTHING)
             expectThat(whole.broken).isEqualTo(0)
@@ -41,6 +42,7 @@
             expectThat(whole.framesAfterLease).isEqualTo(0)
             expectThat(found.getValue(Removed.COMPARE_VERSION_ONLY).broken).isGreaterThan(0)
             expectThat(found.getValue(Removed.READ_BACK_AFTER_RESTART).broken).isGreaterThan(0)
+            expectThat(found.getValue(Removed.ABORT_BY_HOLDER_ONLY).broken).isGreaterThan(0)
             expectThat(found.getValue(Removed.LEASE_RECHECK).framesAfterLease).isGreaterThan(0)
             if (!fencing) {
                 expectThat(found.getValue(Removed.WAIT_AFTER_RESTART).broken).isGreaterThan(0)
@@ -128,13 +130,19 @@
             expectThat(run.frames).isEqualTo(9L * ranks)
             expectThat(run.heldTicks).isEqualTo(0)
         }
-        val slope = (runs.last().bytes - runs.first().bytes) / (sizes.last() - sizes.first())
-        println("rank group: $slope bytes a rank and switch")
-        expectThat(slope).isLessThan(3_000)
+        val size = sizes.average()
+        val slope = sizes.zip(runs).sumOf { (ranks, run) -> (ranks - size) * run.bytes } /
+            sizes.sumOf { (it - size) * (it - size) }
+        val offset = runs.map { it.bytes }.average() - slope * size
+        println("rank group: bytes = %.0f x ranks %+.0f".format(slope, offset))
+        expectThat(slope).isLessThan(1_500.0)
     }
 
     private companion object {
         const val SEEDS = 300
+
+        /** Seeds with all rules in force; `-Drankgroup.seeds=` widens the search. */
+        val WHOLE_SEEDS: Int = Integer.getInteger("rankgroup.seeds", SEEDS)
         const val FAULTS = 5_000L
         const val RECOVERY = 7_000L
     }
--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankArbiterTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankArbiterTest.kt
@@ -135,9 +135,7 @@
     /** The peer holds a map of the same version that a holder of another term prepared. */
     @Test
     fun `comparison by version alone activates a map of an older term`() {
-        val (member, query) = member(map, term = 2) { left, right ->
-            RankGroupSimulation.version(left.digest) == RankGroupSimulation.version(right.digest)
-        }
+        val (member, query) = member(map, term = 2, Removed.COMPARE_VERSION_ONLY::sameMap)
         val stale = ArmedMap(Term(1), Digest.parse("v5-stale"), Step(30))
         expectThat(member.onFrame(answer(query, stale))).contains(activate)
     }
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankGroupSetup.kt
@@ -0,0 +1,44 @@
+package org.vanilladale.core.rankgroup
+
+import org.vanilladale.schema.ArmedMap
+import org.vanilladale.schema.Digest
+
+/** Rule that a run leaves out. */
+internal enum class Removed {
+    NOTHING,
+    COMPARE_TERM_ONLY,
+    COMPARE_VERSION_ONLY,
+    READ_BACK_AFTER_RESTART,
+    WAIT_AFTER_RESTART,
+    LEASE_RECHECK,
+
+    /** A rank aborts by itself when one peer has promised a higher term. */
+    ABORT_BY_HOLDER_ONLY,
+    ;
+
+    fun sameMap(left: ArmedMap, right: ArmedMap): Boolean = when (this) {
+        COMPARE_TERM_ONLY -> left.term == right.term
+        COMPARE_VERSION_ONLY -> version(left.digest) == version(right.digest)
+        else -> left == right
+    }
+}
+
+/** Order of a dead agent incarnation that reaches the engine of rank 0 at [at]. */
+internal data class LateHold(val at: Long, val map: ArmedMap, val overwrites: Boolean)
+
+internal data class Setup(
+    val seed: Int,
+    val rankCount: Int,
+    val keepsFencing: Boolean,
+    val removed: Removed = Removed.NOTHING,
+    val faultsUntil: Long = 6_000,
+    val latestOrder: Long = 1_400,
+    val coordinatorCount: Int = 2,
+    val experts: Int = 8,
+    val measured: Boolean = false,
+    val lateHold: LateHold? = null,
+    val preload: Long = 0,
+)
+
+/** Version number in the digest `v<number>-<name>` of a simulated map. */
+internal fun version(digest: Digest): Int = digest.text.substringBefore('-').drop(1).toInt()
--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankGroupSimulation.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankGroupSimulation.kt
@@ -4,7 +4,6 @@
 import kotlin.random.Random
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
-import org.vanilladale.schema.ArmedMap
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Digest
 import org.vanilladale.schema.Frame
@@ -20,32 +19,6 @@
 import org.vanilladale.schema.Timestamp
 import org.vanilladale.schema.VmId
 
-internal enum class Removed {
-    NOTHING,
-    COMPARE_TERM_ONLY,
-    COMPARE_VERSION_ONLY,
-    READ_BACK_AFTER_RESTART,
-    WAIT_AFTER_RESTART,
-    LEASE_RECHECK,
-}
-
-/** Order of a dead agent incarnation that reaches the engine of rank 0 at [at]. */
-internal data class LateHold(val at: Long, val map: ArmedMap, val overwrites: Boolean)
-
-internal data class Setup(
-    val seed: Int,
-    val rankCount: Int,
-    val keepsFencing: Boolean,
-    val removed: Removed = Removed.NOTHING,
-    val faultsUntil: Long = 6_000,
-    val latestOrder: Long = 1_400,
-    val coordinatorCount: Int = 2,
-    val experts: Int = 8,
-    val measured: Boolean = false,
-    val lateHold: LateHold? = null,
-    val preload: Long = 0,
-)
-
 /** Seeded run of a rank group, its coordinators, network and engines in virtual milliseconds. */
 internal class RankGroupSimulation(private val setup: Setup) {
     private class Event(val at: Long, val order: Long, val run: () -> Unit)
@@ -71,13 +44,6 @@
 
     private val faulty get() = now < setup.faultsUntil
     private val timestamp get() = Timestamp.fromEpochMilliseconds(now)
-    private val sameMap: (ArmedMap, ArmedMap) -> Boolean = { left, right ->
-        when (setup.removed) {
-            Removed.COMPARE_TERM_ONLY -> left.term == right.term
-            Removed.COMPARE_VERSION_ONLY -> version(left.digest) == version(right.digest)
-            else -> left == right
-        }
-    }
     private val agents = List(setup.rankCount) { Agent(it) }
     private val coordinators = List(setup.coordinatorCount) { Coordinator(setup.rankCount + it) }
 
@@ -200,7 +166,8 @@
             member.onReadBack(engine.readBack(), timestamp)
         }
 
-        private fun newMember() = RankMapMember(group, Rank(index), ranks, 50, sameMap)
+        private fun newMember() =
+            RankMapMember(group, Rank(index), ranks, 50, setup.removed::sameMap)
 
         fun die() {
             if (!alive) return
@@ -238,11 +205,20 @@
                 is LeaseRelease -> lease.release(frame)
                 else -> {
                     if (from >= setup.rankCount) holder = from
+                    if (setup.removed == Removed.ABORT_BY_HOLDER_ONLY) abortAlone(frame)
                     act(member.onFrame(frame))
                 }
             }
         }
 
+        private fun abortAlone(frame: Frame) {
+            val map = member.state?.armed
+            if (frame !is MapState || frame.query == 0L || map == null) return
+            val unconfirmed = frame.state?.let { it.armed == map && !it.confirmed } == true
+            if (!unconfirmed || member.state?.confirmed == true || frame.term <= map.term) return
+            at(1) { engine.apply(EngineOrder.Release(frame.term, map)) }
+        }
+
         private fun request(from: Int, frame: LeaseRequest) {
             val decision = lease.request(frame, timestamp)
             if (decision.granted && settled) {
@@ -361,7 +337,7 @@
                 digest = Digest.parse("v$next-c$index-${count++}-".padEnd(64, '0'))
                 // Ranks cap the lease; the longer one is a holder that never rechecks.
                 leaseMilliseconds = if (recheck) LEASE else 3 * LEASE
-                sameMap = this@RankGroupSimulation.sameMap
+                sameMap = setup.removed::sameMap
             }
             val created = MapSwitchCoordinator(plan, timestamp)
             running = created
@@ -411,7 +387,5 @@
 
     companion object {
         const val LEASE = 2_000L
-
-        fun version(digest: Digest): Int = digest.text.substringBefore('-').drop(1).toInt()
     }
 }
