Mark slow targets by service time and set the measured defaults

Cause: one target with three times the step time kept getting requests. Ruled out: leaving it to the load counts alone. Change: SlowTargets; TargetLoadView.ownTimeOf for times on another clock; factor of bounded load 1.5 (was 1.25), report lifetime 2 s (was 4 s), affinity 30 s (was 60 s).

--- a/core/src/main/kotlin/org/vanilladale/core/routing/PrefixAffinity.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/PrefixAffinity.kt
@@ -90,7 +90,7 @@
         public const val DEFAULT_MAXIMUM_PREFIXES: Int = 10_000
 
         /** Default time for which a used prefix counts as cached. */
-        public const val DEFAULT_KEEP_MILLISECONDS: Long = 60_000
+        public const val DEFAULT_KEEP_MILLISECONDS: Long = 30_000
 
         private const val MAXIMUM_HOLDERS = 4
         private const val LOAD_FACTOR = 0.75f
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetChoice.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetChoice.kt
@@ -72,7 +72,7 @@
 }
 
 /** Default of the bounded load; see docs/measurements-routing.md. */
-public const val DEFAULT_BOUNDED_LOAD_FACTOR: Double = 1.25
+public const val DEFAULT_BOUNDED_LOAD_FACTOR: Double = 1.5
 
 private fun lessLoadedOfTwo(
     usable: List<TargetId>,
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
@@ -68,6 +68,12 @@
     public fun reportOrNull(target: TargetId, now: Timestamp): Load? =
         rows[target]?.let { row -> row.load?.takeIf { weight(row, it, now) > 0.0 } }
 
+    /** Returns the time on the own clock at which [target] stamped something [theirs]. */
+    public fun ownTimeOf(target: TargetId, theirs: Timestamp, now: Timestamp): Timestamp {
+        val age = rows[target]?.delay?.ageOf(theirs, now) ?: 0
+        return Timestamp.fromEpochMilliseconds(now.epochMilliseconds - age)
+    }
+
     /** Returns the discounted load of [target] in requests. */
     public fun loadOf(target: TargetId, now: Timestamp): Double {
         val row = rows[target] ?: return 0.0
@@ -127,6 +133,6 @@
 
     public companion object {
         /** Age from which a report says nothing; see docs/measurements-routing.md. */
-        public const val DEFAULT_REPORT_LIFETIME_MILLISECONDS: Long = 4_000
+        public const val DEFAULT_REPORT_LIFETIME_MILLISECONDS: Long = 2_000
     }
 }
--- a/core/src/test/kotlin/org/vanilladale/core/routing/TargetChoiceTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/routing/TargetChoiceTest.kt
@@ -67,6 +67,7 @@
         val loads = listOf(100L, 600, 1_100, 9_000).map { view.loadOf(target, at(it)) }
         expectThat(loads).containsExactly(11.0, 6.0, 1.0, 1.0)
         expectThat(view.reportOrNull(target, at(1_100))).isEqualTo(null)
+        expectThat(view.ownTimeOf(target, at(90_200), now = at(350))).isEqualTo(at(300))
     }
 
     @Test
@@ -90,4 +91,24 @@
         targets.forEach { affinity.routed(prefix, it, at(400)) }
         expectThat(cached(400)).contains(agreed)
     }
+
+    @Test
+    fun `a slow mark ends by time and needs a new sample to come again`() {
+        val slow = SlowTargets(view, factor = 2.0, markMilliseconds = 100)
+        val report = { index: Int, service: Long, now: Long ->
+            val load = load(1, now).copy(serviceMicroseconds = service)
+            view.reported(targets[index], load, at(now))
+            slow.reported(targets[index], load, targets, at(now))
+        }
+        val state = { now: Long -> view.stateOf(targets[0], at(now)) }
+        (1..4).forEach { report(it, 1_000, 0) }
+        report(0, 2_001, 0)
+        expectThat(state(99)).isEqualTo(TargetState.SLOW)
+        report(0, 2_001, 90)
+        expectThat(state(100)).describedAs("probe").isEqualTo(TargetState.READY)
+        report(0, 2_100, 110)
+        expectThat(state(120)).describedAs("still slow").isEqualTo(TargetState.SLOW)
+        report(0, 1_900, 250)
+        expectThat(state(250)).isEqualTo(TargetState.READY)
+    }
 }
