--- a/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
@@ -4,8 +4,9 @@
 import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import org.vanilladale.bench.routing.RoutingCommand
 
-private fun commands(): List<CliktCommand> = listOf()
+private fun commands(): List<CliktCommand> = listOf(RoutingCommand())
 
 /** Starts the program. */
 public fun main(arguments: Array<String>) {
