Add the placement experiment and the planner's cost measurement

Cause: the planner's defaults need measured skew and moves against baselines. Change: subcommands placement and placement-cost, a workload in virtual time, the baselines never, timer and greedy, and a table of variants of the planner.

--- a/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
@@ -4,8 +4,13 @@
 import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import org.vanilladale.bench.placement.PlacementCommand
+import org.vanilladale.bench.placement.PlacementCostCommand
 
-private fun commands(): List<CliktCommand> = listOf()
+private fun commands(): List<CliktCommand> = listOf(
+    PlacementCommand(),
+    PlacementCostCommand(),
+)
 
 /** Starts the program. */
 public fun main(arguments: Array<String>) {
--- /dev/null
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementCostCommand.kt
@@ -0,0 +1,160 @@
+package org.vanilladale.bench.placement
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.split
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import java.lang.management.ManagementFactory
+import java.nio.file.Path
+import java.util.Locale
+import kotlinx.serialization.Serializable
+import org.vanilladale.bench.ResultFile
+import org.vanilladale.bench.linearFit
+import org.vanilladale.bench.randomStream
+import org.vanilladale.bench.seedsFrom
+import org.vanilladale.bench.spreadOf
+import org.vanilladale.bench.writeResultFile
+import org.vanilladale.core.placement.ExpertPopularity
+import org.vanilladale.core.placement.PlacementInput
+import org.vanilladale.core.placement.PlacementOptions
+import org.vanilladale.core.placement.PlacementPlanner
+import org.vanilladale.core.placement.PlacementState
+import org.vanilladale.core.placement.RankSpeed
+import org.vanilladale.core.placement.balancedMap
+import org.vanilladale.schema.Timestamp
+
+private const val NANOSECONDS_PER_MILLISECOND = 1e6
+private const val STATES = 200
+private const val WARM_UP_PLANS = 30
+private const val DEFAULT_PLANS = 30
+private const val SKEW_WEIGHT = 0.8
+
+/** Measures processor time and state bytes of the planner at several sizes. */
+public class PlacementCostCommand : CliktCommand(name = "placement-cost") {
+    private val seed by option(help = "first seed").long().default(1)
+    private val plans by option(help = "plans a size").int().default(DEFAULT_PLANS)
+    private val sizes by option(help = "ranks x experts").split(",")
+        .default(listOf("4x64", "8x64", "8x128", "8x256", "16x128", "16x256", "32x256", "32x512"))
+    private val output by option(help = "JSON result file").default("target/placement-cost.json")
+    private val clock = ManagementFactory.getThreadMXBean()
+
+    override fun help(context: Context): String = "processor time and state of the planner"
+
+    @Serializable
+    private data class Cost(
+        val size: PlacementSize,
+        val changeMilliseconds: Double,
+        val stayMilliseconds: Double,
+        val observeMilliseconds: Double,
+        val bytes: Double,
+    )
+
+    override fun run() {
+        // One pass first, so that no size is measured in code that is not yet compiled.
+        sizes.forEach { text -> repeat(WARM_UP_PLANS) { change(input(text, it.toLong())) } }
+        val costs = sizes.map { cost(it) }
+        echo(
+            "command: placement-cost --seed $seed --plans $plans --sizes ${sizes.joinToString(
+                ",",
+            )}",
+        )
+        echo("| ranks x experts | change ms | stay ms | report ms | state bytes |")
+        echo("|---|---|---|---|---|")
+        costs.forEach {
+            val cells = listOf(it.changeMilliseconds, it.stayMilliseconds, it.observeMilliseconds)
+            val text = cells.joinToString(" | ") { cell -> format("%.4f", cell) }
+            echo("| ${it.size} | $text | ${format("%.0f", it.bytes)} |")
+        }
+        fit("change ms by experts squared", costs, { squared(it.size) }) { it.changeMilliseconds }
+        fit("stay ms by ranks times experts", costs, { product(it.size) }) { it.stayMilliseconds }
+        fit("report ms by experts", costs, { experts(it.size) }) { it.observeMilliseconds }
+        fit("state bytes by experts", costs, { experts(it.size) }) { it.bytes }
+        val file = ResultFile("placement-cost --seed $seed", seedsFrom(seed, plans), costs)
+        writeResultFile(Path.of(output), file, Cost.serializer())
+    }
+
+    private fun experts(size: PlacementSize) = size.experts.toDouble()
+
+    private fun product(size: PlacementSize) = size.ranks.toDouble() * size.experts
+
+    private fun squared(size: PlacementSize) = size.experts.toDouble() * size.experts
+
+    private fun fit(name: String, costs: List<Cost>, x: (Cost) -> Double, y: (Cost) -> Double) {
+        val fit = linearFit(costs.map { x(it) to y(it) })
+        echo(
+            "$name: ${format("%.4g", fit.intercept)} + ${format("%.4g", fit.slope)} x, " +
+                "largest error ${format("%.0f", fit.largestError * PERCENT)} %",
+        )
+    }
+
+    private fun format(pattern: String, value: Double) = String.format(Locale.ROOT, pattern, value)
+
+    private fun cost(text: String): Cost {
+        val inputs = seedsFrom(seed, plans).map { input(text, it) }
+        val planner = PlacementPlanner(PlacementOptions(tolerance = HIGH_TOLERANCE))
+        val tokens = inputs.first().popularity.shares()
+        val later = at(2)
+        return Cost(
+            PlacementSize.parse(text),
+            median(inputs) { change(it) },
+            median(inputs) { planner.plan(it) },
+            median(inputs) { it.popularity.observe(tokens, later) },
+            bytes(text),
+        )
+    }
+
+    private fun change(input: PlacementInput) = PlacementPlanner().plan(input)
+
+    private fun median(inputs: List<PlacementInput>, action: (PlacementInput) -> Any): Double =
+        spreadOf(
+            inputs.map {
+                val before = clock.currentThreadCpuTime
+                action(it)
+                (clock.currentThreadCpuTime - before) / NANOSECONDS_PER_MILLISECOND
+            },
+        ).median
+
+    private fun at(second: Long) = Timestamp.fromEpochMilliseconds(second * MILLISECONDS)
+
+    /** Returns the input after a shift that moved a quarter of the experts. */
+    private fun input(text: String, seed: Long): PlacementInput {
+        val size = PlacementSize.parse(text)
+        val random = randomStream(seed, "cost")
+        val before = List(size.experts) { random.nextDouble(LEAST_WEIGHT, 1.0) }
+        val after = before.toMutableList()
+        before.indices.shuffled(random).take(size.experts / SHIFTED_PART).forEach {
+            after[it] = random.nextDouble(LEAST_WEIGHT, 2.0)
+        }
+        val speed = RankSpeed.even(size.ranks)
+        val sum = before.sum()
+        val map = balancedMap(size.ranks, size.slots, before.map { it / sum }, speed)
+        val state = PlacementState(map, PlacementOptions().budgetFor(size.experts))
+        val popularity = ExpertPopularity.even(size.experts).observe(after, at(0))
+        return PlacementInput(state, popularity, speed, SKEW_WEIGHT, at(1))
+    }
+
+    private fun bytes(text: String): Double {
+        val before = usedBytes()
+        val kept = List(STATES) { input(text, it.toLong()) }
+        val used = usedBytes() - before
+        // Keeps the states reachable until they have been measured.
+        return used.toDouble() / kept.size
+    }
+
+    private fun usedBytes(): Long {
+        repeat(COLLECTIONS) { System.gc() }
+        return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }
+    }
+
+    private companion object {
+        const val MILLISECONDS = 1_000L
+        const val HIGH_TOLERANCE = 100.0
+        const val LEAST_WEIGHT = 0.2
+        const val PERCENT = 100
+        const val COLLECTIONS = 3
+        const val SHIFTED_PART = 4
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementVariant.kt
@@ -0,0 +1,90 @@
+package org.vanilladale.bench.placement
+
+import arrow.core.left
+import arrow.core.right
+import org.vanilladale.core.placement.MoveBudget
+import org.vanilladale.core.placement.PlacementOptions
+import org.vanilladale.core.placement.PlacementPlanner
+import org.vanilladale.core.placement.PlacementPolicy
+import org.vanilladale.core.placement.PlacementProposal
+import org.vanilladale.core.placement.PlacementStay
+import org.vanilladale.core.placement.PopularityOptions
+import org.vanilladale.core.placement.balancedMap
+
+private const val UNLIMITED_MOVES = Int.MAX_VALUE / 2
+
+/** One policy under test with its smoothing and the limits its state keeps. */
+internal class PlacementVariant(
+    val policy: PlacementPolicy,
+    val options: PlacementOptions = PlacementOptions(),
+    val popularity: PopularityOptions = PopularityOptions(),
+    val budget: (experts: Int) -> MoveBudget = { MoveBudget.of(UNLIMITED_MOVES) },
+)
+
+/** Never changes the first map. */
+private val never = PlacementVariant({ PlacementStay.Balanced(1.0).left() })
+
+/** Assigns all experts from scratch every ten minutes. */
+private val timer = PlacementVariant(
+    policy = { input ->
+        val coolDown = input.state.coolDownUntil
+        val current = input.state.map
+        if (coolDown != null && !coolDown.hasPassed(input.now)) {
+            PlacementStay.CoolingDown(coolDown).left()
+        } else {
+            val shares = input.popularity.shares()
+            val map = balancedMap(current.rankCount, current.slotsPerRank, shares, input.speed)
+            val loads = map.copiesMissingIn(current)
+            PlacementProposal(map, loads, current.copiesMissingIn(map), 1.0, 1.0).right()
+        }
+    },
+    options = PlacementOptions(coolDownMilliseconds = 600_000),
+)
+
+private val greedyOptions = PlacementOptions(
+    tolerance = 0.0,
+    hysteresis = 0.0,
+    skewOfMove = 0.0,
+    movesPerProposal = UNLIMITED_MOVES,
+    coolDownMilliseconds = 0,
+)
+
+/** Takes every predicted gain: no move cost, hysteresis, budget, cool-down or barred copies. */
+private val greedy = PlacementVariant(
+    policy = { input ->
+        val open = input.copy(state = input.state.copy(barred = emptyMap()))
+        PlacementPlanner(greedyOptions).plan(open)
+    },
+    options = greedyOptions,
+)
+
+private fun planner(
+    options: PlacementOptions = PlacementOptions(),
+    popularity: PopularityOptions = PopularityOptions(),
+    budget: (experts: Int) -> MoveBudget = options::budgetFor,
+) = PlacementVariant(PlacementPlanner(options)::plan, options, popularity, budget)
+
+/** Baselines, the planner with its defaults, and the alternatives the defaults are chosen from. */
+internal val placementVariants: Map<String, PlacementVariant> = mapOf(
+    "never" to never,
+    "timer" to timer,
+    "greedy" to greedy,
+    "planner" to planner(),
+    "hysteresis-0.005" to planner(PlacementOptions(hysteresis = 0.005)),
+    "hysteresis-0.01" to planner(PlacementOptions(hysteresis = 0.01)),
+    "hysteresis-0.04" to planner(PlacementOptions(hysteresis = 0.04)),
+    "move-cost-0.0005" to planner(PlacementOptions(skewOfMove = 0.0005)),
+    "move-cost-0.001" to planner(PlacementOptions(skewOfMove = 0.001)),
+    "move-cost-0.004" to planner(PlacementOptions(skewOfMove = 0.004)),
+    "no-swaps" to planner(PlacementOptions(allowSwaps = false)),
+    "no-replicas" to planner(PlacementOptions(allowReplicas = false)),
+    "slow-300s" to planner(popularity = PopularityOptions(slowMilliseconds = 300_000)),
+    "slow-1200s" to planner(popularity = PopularityOptions(slowMilliseconds = 1_200_000)),
+    "one-scale" to planner(popularity = PopularityOptions(shiftDistance = 1.0)),
+    "moves-8" to planner(PlacementOptions(movesPerProposal = 8)),
+    "moves-32" to planner(PlacementOptions(movesPerProposal = 32)),
+    "cool-down-60s" to planner(PlacementOptions(coolDownMilliseconds = 60_000)),
+    "cool-down-300s" to planner(PlacementOptions(coolDownMilliseconds = 300_000)),
+    "budget-quarter" to planner(budget = { MoveBudget.of(it / 4) }),
+    "budget-whole" to planner(budget = { MoveBudget.of(it) }),
+)
