--- a/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
@@ -4,9 +4,15 @@
 import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import org.vanilladale.bench.placement.PlacementCommand
+import org.vanilladale.bench.placement.PlacementCostCommand
 import org.vanilladale.bench.routing.RoutingCommand
 
-private fun commands(): List<CliktCommand> = listOf(RoutingCommand())
+private fun commands(): List<CliktCommand> = listOf(
+    PlacementCommand(),
+    PlacementCostCommand(),
+    RoutingCommand(),
+)
 
 /** Starts the program. */
 public fun main(arguments: Array<String>) {
