Use the property name entries in the directory test

Cause: the schema template now keeps the names of the schema. Ruled out: renaming the field; callers read it as 'entries'. Change: the test uses the new name. Before: compile error.

--- a/core/src/test/kotlin/org/vanilladale/core/membership/EntryDirectoryTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/membership/EntryDirectoryTest.kt
@@ -160,17 +160,17 @@
         val caller = DataCentreName.parse("data-centre-1")
         val answers = List(50) { builder.build(known, caller, time(1_000)) }
         answers.forEach { answer ->
-            val centres = answer.propertyEntries.map { it.dataCentre == caller }
+            val centres = answer.entries.map { it.dataCentre == caller }
             expectThat(centres).isEqualTo(List(12) { true } + List(4) { false })
             expectThat(answer.keepUntil).isEqualTo(time(1_000).deadlineAfter(30_000))
         }
-        val named = answers.flatMap { it.propertyEntries }.map { it.address }.toSet()
+        val named = answers.flatMap { it.entries }.map { it.address }.toSet()
         expectThat(named.intersect(leavingOrDead.map { it.callerAddress }.toSet())).hasSize(0)
-        expectThat(answers.map { it.propertyEntries.first() }.toSet().size).isGreaterThan(8)
+        expectThat(answers.map { it.entries.first() }.toSet().size).isGreaterThan(8)
         val alone = directory().merge(leavingOrDead, time(0))
-        expectThat(builder.build(alone, caller, time(0)).propertyEntries).isNotEmpty()
+        expectThat(builder.build(alone, caller, time(0)).entries).isNotEmpty()
         val leaving = directory(0, 1..2).leave()
-        val addresses = builder.build(leaving, caller, time(0)).propertyEntries.map { it.address }
+        val addresses = builder.build(leaving, caller, time(0)).entries.map { it.address }
         expectThat(addresses).hasSize(2).contains(state(1).callerAddress)
     }
 }
