--- a/core/src/test/kotlin/org/vanilladale/core/once/AtMostOnceHistoryTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/once/AtMostOnceHistoryTest.kt
@@ -62,6 +62,8 @@
     fun `no request runs twice or after run=no under any fault`() {
         single.forEach { expectThat(run(it) { LedgerPort(it) }).isEmpty() }
         val full = all.copy(name = "all faults, ledger of 2 rows")
+        val steps = all.copy(name = "all faults, clock steps", clockStep = 20)
+        expectThat(run(steps) { LedgerPort(it) }).isEmpty()
         expectThat(run(full) { LedgerPort(it, maximumRows = 2) }).isEmpty()
         val two = Faults("two bindings of one key", lost = 15, late = 15, twoBindings = true)
         expectThat(run(two) { LedgerPort(it) }).isEmpty()
--- a/core/src/test/kotlin/org/vanilladale/core/once/OnceModel.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/once/OnceModel.kt
@@ -25,6 +25,7 @@
     val pause: Int = 0,
     val restart: Int = 0,
     val listChange: Int = 0,
+    val clockStep: Int = 0,
     val targetDown: Boolean = false,
     val twoBindings: Boolean = false,
 )
@@ -43,7 +44,7 @@
 
     private inner class Agent(val index: Int) {
         val target = TargetId.parse("orders-$index")
-        val clock = random.nextLong(-200, 200)
+        var clock = random.nextLong(-200, 200)
         var incarnation = Incarnation(random.nextLong())
         var ledger = newLedger(incarnation)
         val waiters = mutableMapOf<BoundKey, MutableList<(SubmitDecision<String>) -> Unit>>()
@@ -103,6 +104,11 @@
             for (at in 250L..DURATION step 250) {
                 schedule(at + random.nextLong(100)) { agent.ledger.forgetExpired(agent.local) }
                 schedule(at) { if (chance(faults.restart)) agent.restart() }
+                if (faults.clockStep > 0) {
+                    schedule(at) {
+                        if (chance(faults.clockStep)) agent.clock = random.nextLong(-3_000, 3_000)
+                    }
+                }
                 schedule(at) {
                     if (chance(faults.pause)) agent.pausedUntil = now + random.nextLong(100, 1_500)
                 }
