--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/explain/RouteExplanation.kt
@@ -0,0 +1,55 @@
+package org.vanilladale.core.explain
+
+import org.vanilladale.core.configuration.JoinedTables
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.ExplainReport
+import org.vanilladale.schema.Pool
+import org.vanilladale.schema.PoolTarget
+import org.vanilladale.schema.RefusalAnswer
+import org.vanilladale.schema.RequestKind
+import org.vanilladale.schema.TargetReport
+
+/**
+ * Explains where a request of [kind] goes under [tables], and why it would be refused.
+ *
+ * @param tables tables in force; null when there are none
+ * @param describe state of one target as the caller of this function knows it
+ */
+public fun explainRoute(
+    tables: JoinedTables?,
+    kind: RequestKind,
+    describe: (Pool, PoolTarget) -> TargetReport,
+): ExplainReport {
+    val route = tables?.routeOrNull(kind)
+    val targets = if (route == null) {
+        emptyList()
+    } else {
+        val pool = tables.poolOf(route)
+        pool.targets.map { describe(pool, it) }
+    }
+    val refusal = when {
+        tables == null -> Refusal(RefusalReason.NO_CONFIGURATION)
+        route == null -> Refusal(RefusalReason.NO_ROUTE, detail = "kind '$kind' has no route")
+        targets.none { it.state in USABLE_STATES } -> Refusal(RefusalReason.NO_TARGET)
+        else -> null
+    }
+    return ExplainReport(
+        kind = kind,
+        targets = targets,
+        revision = tables?.revision,
+        route = route,
+        poolType = route?.let { tables.poolOf(it).type },
+        refusal = refusal?.let { refusalAnswerOf(it) },
+    )
+}
+
+/** Returns the form in which callers and operators see [refusal]. */
+public fun refusalAnswerOf(refusal: Refusal): RefusalAnswer = RefusalAnswer(
+    reason = refusal.reason.code,
+    run = refusal.run,
+    remedy = listOfNotNull(refusal.detail, refusal.reason.remedy).joinToString(". "),
+    retryAt = refusal.retryAt,
+)
+
+private val USABLE_STATES = setOf("ready", "slow", "listed")
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -87,7 +87,10 @@
 
     /** Listens for callers and operators and follows the configuration. */
     public suspend fun start() {
-        val pages = mapOf("/v1/status" to { _: Map<String, String> -> statusText() })
+        val pages = mapOf(
+            "/v1/status" to { _: Map<String, String> -> statusText() },
+            "/v1/explain" to ExplainPage(configuration, fleet, links, router)::text,
+        )
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
         scope.launch { while (isActive) followConfiguration() }
--- a/entry/src/main/kotlin/org/vanilladale/entry/HttpAnswerSink.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/HttpAnswerSink.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.serialization.json.Json
+import org.vanilladale.core.explain.refusalAnswerOf
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.schema.AnswerLine
 import org.vanilladale.schema.RefusalAnswer
@@ -31,7 +32,7 @@
     /** Ends the answer with [refusal], as status or as last line. */
     suspend fun refuse(refusal: Refusal) {
         if (response.ended() || response.closed()) return
-        val body = refusalAnswer(refusal)
+        val body = refusalAnswerOf(refusal)
         if (started) {
             val line = AnswerLine(refusal = body)
             response.end(json.encodeToString(AnswerLine.serializer(), line) + "\n").coAwait()
@@ -43,13 +44,6 @@
         }
     }
 
-    private fun refusalAnswer(refusal: Refusal) = RefusalAnswer(
-        reason = refusal.reason.code,
-        run = refusal.run,
-        remedy = listOfNotNull(refusal.detail, refusal.reason.remedy).joinToString(". "),
-        retryAt = refusal.retryAt,
-    )
-
     private companion object {
         val json = Json { encodeDefaults = false }
     }
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -16,7 +16,9 @@
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Load
 import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.PoolTarget
 import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.TargetReport
 import org.vanilladale.schema.Timestamp
 
 /**
@@ -104,13 +106,15 @@
         }
     }
 
-    /** Describes the state of each of [targets] for operators. */
-    fun describe(pool: PoolName, targets: List<TargetId>): Map<TargetId, String> = withPool(pool) {
+    /** Describes [target] of [pool] for operators. */
+    fun describe(pool: PoolName, target: PoolTarget): TargetReport = withPool(pool) {
         val now = clock()
-        targets.associateWith { target ->
-            val load = "%.1f".format(java.util.Locale.ROOT, view.loadOf(target, now))
-            "${view.stateOf(target, now).name.lowercase()}, load $load"
-        }
+        TargetReport(
+            target.target,
+            target.dataCentre,
+            view.stateOf(target.target, now).name.lowercase(),
+            view.loadOf(target.target, now),
+        )
     }
 
     private fun PoolRouting.choose(
