--- a/bench/src/main/kotlin/org/vanilladale/bench/routing/Condition.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/routing/Condition.kt
@@ -6,7 +6,8 @@
  * @property load offered work as a multiple of the capacity at a cache hit share of one half
  * @property floodLoad part of [load] that workspace 0 adds on its own
  * @property slowFactor step time of target 0 as a multiple of the others
- * @property fault true when every second target fails from [FAULT_START_SECOND] for a minute
+ * @property fault true when targets fail from [FAULT_START_SECOND] for a minute
+ * @property faultEvery 2 lets every second target fail
  */
 internal data class Condition(
     val name: String,
@@ -14,6 +15,7 @@
     val floodLoad: Double = 0.0,
     val slowFactor: Double = 1.0,
     val fault: Boolean = false,
+    val faultEvery: Int = 2,
     val entries: Int = 20,
     val targets: Int = 16,
 ) {
--- a/bench/src/main/kotlin/org/vanilladale/bench/routing/Experiments.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/routing/Experiments.kt
@@ -13,11 +13,15 @@
     companion object {
         private val wide = Condition("wide-0.8", load = 0.8, entries = 360, targets = 31)
 
+        private val singleFault =
+            Condition("single-fault", load = 0.8, fault = true, faultEvery = 16)
+
         private fun conditions(vararg names: String) = Condition.all.filter { it.name in names }
 
         val all: List<Study> = listOf(
             Study("policies", Condition.all, Variant.policies, Variant.twoChoices.name),
             Study("protection", Condition.all, Variant.protection, "unprotected"),
+            Study("single-fault", listOf(singleFault), Variant.protection, "no-retries"),
             Study("ages", conditions("drift-0.8", "slow-target"), Variant.ages, "report-2000"),
             Study(
                 "events",
@@ -27,6 +31,12 @@
             ),
             Study("subsets", listOf(wide), Variant.subsets, "subset-16"),
             Study("slow", conditions("drift-0.8", "slow-target"), Variant.slow, "no-slow-marks"),
+            Study(
+                "fallbacks",
+                conditions("drift-0.8", "slow-target", "overload-1.0", "fault"),
+                Variant.fallbacks,
+                "fallback-round-robin",
+            ),
             Study(
                 "capacities",
                 conditions("drift-0.8", "flood", "overload-1.5"),
--- a/bench/src/main/kotlin/org/vanilladale/bench/routing/Variant.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/routing/Variant.kt
@@ -42,6 +42,18 @@
         fun boundedAffinity(parts: PolicyParts, factor: Double): TargetPolicy =
             affinityWithBoundedLoad(parts.view, parts.affinity, parts.random, factor)
 
+        private fun withFallback(parts: PolicyParts, fallback: Variant): TargetPolicy =
+            affinityWithBoundedLoad(
+                parts.view,
+                parts.affinity,
+                parts.random,
+                fallback = fallback.policy(parts),
+            )
+
+        private fun leastLoad(parts: PolicyParts): TargetPolicy = { usable, request ->
+            usable.minBy { parts.view.loadOf(it, request.now) }
+        }
+
         val random = Variant("random", { parts -> { usable, _ -> usable.random(parts.random) } })
         val roundRobin = Variant("round-robin", { parts ->
             var next = parts.first
@@ -88,6 +100,11 @@
             Variant("no-slow-marks", slowMarks = false),
             Variant("slow-marks"),
         )
+        val fallbacks: List<Variant> = listOf(random, roundRobin, leastOutstanding, twoChoices)
+            .map { Variant("fallback-${it.name}", { parts -> withFallback(parts, it) }) } +
+            Variant("fallback-least-load", { parts ->
+                withFallback(parts, Variant("least-load", ::leastLoad))
+            })
         val capacities: List<Variant> = listOf(1.0, 1.25, 1.5, 2.0, 3.0, 6.0).map {
             Variant("capacity-$it", capacityFactor = it)
         }
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetChoice.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetChoice.kt
@@ -50,13 +50,14 @@
  * Returns the default policy: prefix affinity with bounded load, else two random choices.
  *
  * A preferred target is used only while its load is under [boundedLoadFactor] times the mean load
- * of the usable targets, one request of each counted in.
+ * of the usable targets, one request of each counted in; else [fallback] picks.
  */
 public fun affinityWithBoundedLoad(
     view: TargetLoadView,
     affinity: PrefixAffinity,
     random: Random,
     boundedLoadFactor: Double = DEFAULT_BOUNDED_LOAD_FACTOR,
+    fallback: TargetPolicy = twoRandomChoices(view, random),
 ): TargetPolicy = { usable, request ->
     val prefix = request.prefix
     val preferred = prefix?.let { affinity.preferred(it, usable, request.now) }.orEmpty()
@@ -66,7 +67,7 @@
         boundedLoadFactor * (1.0 + usable.sumOf { view.loadOf(it, request.now) } / usable.size)
     }
     val target = preferred.firstOrNull { view.loadOf(it, request.now) + 1.0 <= bound }
-        ?: lessLoadedOfTwo(usable, view, random, request.now)
+        ?: fallback(usable, request)
     if (prefix != null) affinity.routed(prefix, target, request.now)
     target
 }
