--- a/bench/src/main/kotlin/org/vanilladale/bench/routing/DecisionCost.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/routing/DecisionCost.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.bench.routing
 
+import java.lang.management.ManagementFactory
 import java.util.Locale
 import kotlin.math.sqrt
 import kotlin.random.Random
@@ -31,6 +32,9 @@
     private const val BUSY = 6
     private val now = Timestamp.fromEpochMilliseconds(1_000)
     private val route = RouteName.parse("draft")
+
+    // Processor time of the thread, as other programs may share the cores.
+    private val threads = ManagementFactory.getThreadMXBean()
     private var sink = 0
 
     private val quantities = listOf(
@@ -61,6 +65,8 @@
         appendLine("| quantity | measured (size: value) | slope | intercept | fit error |")
         appendLine("|---|---|---|---|---|")
         for (quantity in quantities) {
+            // The first pass compiles the code for all sizes.
+            quantity.sizes.forEach { quantity.measure(it) }
             val points = quantity.sizes.map { it to quantity.measure(it) }
             val (slope, intercept, error) = fit(points)
             val values = points.joinToString(", ") { (size, value) -> "$size: ${number(value)}" }
@@ -133,9 +139,9 @@
 
     private fun medianMicroseconds(calls: Int, call: (Int) -> Unit): Double {
         val times = List(REPETITIONS * 2) {
-            val start = System.nanoTime()
+            val start = threads.currentThreadCpuTime
             repeat(calls, call)
-            (System.nanoTime() - start) / NANOSECONDS_PER_MICROSECOND / calls
+            (threads.currentThreadCpuTime - start) / NANOSECONDS_PER_MICROSECOND / calls
         }
         // The first half warms up the compiler.
         return times.drop(REPETITIONS).sorted()[REPETITIONS / 2]
