--- a/bench/src/main/kotlin/org/vanilladale/bench/routing/DecisionCost.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/routing/DecisionCost.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.bench.routing
 
+import java.lang.management.ManagementFactory
 import java.util.Locale
 import kotlin.math.sqrt
 import kotlin.random.Random
@@ -24,13 +25,16 @@
 internal object DecisionCost {
     private class Quantity(val name: String, val sizes: List<Int>, val measure: (Int) -> Double)
 
-    private const val REPETITIONS = 9
-    private const val CALLS = 5_000
+    private const val REPETITIONS = 15
+    private const val CALLS = 2_000
     private const val NANOSECONDS_PER_MICROSECOND = 1e3
     private const val PERCENT = 100
     private const val BUSY = 6
     private val now = Timestamp.fromEpochMilliseconds(1_000)
     private val route = RouteName.parse("draft")
+
+    // Processor time of the thread, as other programs may share the cores.
+    private val threads = ManagementFactory.getThreadMXBean()
     private var sink = 0
 
     private val quantities = listOf(
@@ -61,6 +65,8 @@
         appendLine("| quantity | measured (size: value) | slope | intercept | fit error |")
         appendLine("|---|---|---|---|---|")
         for (quantity in quantities) {
+            // The first pass compiles the code for all sizes.
+            quantity.sizes.forEach { quantity.measure(it) }
             val points = quantity.sizes.map { it to quantity.measure(it) }
             val (slope, intercept, error) = fit(points)
             val values = points.joinToString(", ") { (size, value) -> "$size: ${number(value)}" }
@@ -133,24 +139,27 @@
 
     private fun medianMicroseconds(calls: Int, call: (Int) -> Unit): Double {
         val times = List(REPETITIONS * 2) {
-            val start = System.nanoTime()
+            val start = threads.currentThreadCpuTime
             repeat(calls, call)
-            (System.nanoTime() - start) / NANOSECONDS_PER_MICROSECOND / calls
+            (threads.currentThreadCpuTime - start) / NANOSECONDS_PER_MICROSECOND / calls
         }
         // The first half warms up the compiler.
         return times.drop(REPETITIONS).sorted()[REPETITIONS / 2]
     }
 
     private fun retainedBytes(create: () -> Any): Double {
-        val before = usedBytes()
-        val state = create()
-        val bytes = usedBytes() - before
-        sink += System.identityHashCode(state) and 1
-        return bytes.toDouble()
+        val samples = List(MEMORY_SAMPLES) {
+            val before = usedBytes()
+            val state = create()
+            val bytes = usedBytes() - before
+            sink += System.identityHashCode(state) and 1
+            bytes.toDouble()
+        }
+        return samples.sorted()[MEMORY_SAMPLES / 2]
     }
 
     private fun usedBytes(): Long {
-        repeat(REPETITIONS) { System.gc() }
+        repeat(COLLECTIONS) { System.gc() }
         return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }
     }
 
@@ -170,5 +179,7 @@
     private fun number(value: Double) = String.format(Locale.ROOT, "%.4g", value)
 
     private val SHARED_TARGET = TargetId.parse("target-0")
+    private const val MEMORY_SAMPLES = 3
+    private const val COLLECTIONS = 4
     private const val POOL_TARGETS = 830
 }
