Shorten the slow popularity scale, lower the move cost, and raise the move budget

Change: slow scale 600 s to 150 s; skewOfMove 0.002 to 0.0005; budget of a period from half of the experts to all of them; eight receiving ranks.

--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementDraft.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementDraft.kt
@@ -19,6 +19,7 @@
     val expertCount = original.expertCount
     private val slots = original.slotsPerRank
     private val held = Array(rankCount) { BooleanArray(expertCount) }
+    private val heldBefore = Array(rankCount) { BooleanArray(expertCount) }
     private val copies = IntArray(expertCount)
     private val used = IntArray(rankCount)
     private val loads = DoubleArray(rankCount)
@@ -39,6 +40,7 @@
         for (expert in 0 until expertCount) {
             original.ranksOf(ExpertId(expert)).forEach { rank ->
                 held[rank.value][expert] = true
+                heldBefore[rank.value][expert] = true
                 used[rank.value]++
                 copies[expert]++
             }
@@ -49,6 +51,10 @@
     val skew: Double get() = (0 until rankCount).maxOf { timeOf(it) }
     val slowestRank: Int get() = (0 until rankCount).maxBy { timeOf(it) }
 
+    /** Returns up to [count] ranks, the fastest first. */
+    fun fastestRanks(count: Int): List<Int> =
+        (0 until rankCount).sortedBy { timeOf(it) }.take(count)
+
     fun holds(rank: Int, expert: Int): Boolean = held[rank][expert]
 
     fun hasFreeSlot(rank: Int): Boolean = used[rank] < slots
@@ -85,8 +91,7 @@
         return ExpertMap.fromRanks(rankCount, slots, ranks).getOrElse { error(it.message) }
     }
 
-    private fun isOriginal(rank: Int, expert: Int): Boolean =
-        Rank(rank) in original.ranksOf(ExpertId(expert))
+    private fun isOriginal(rank: Int, expert: Int): Boolean = heldBefore[rank][expert]
 
     private fun change(rank: Int, expert: Int, isAdded: Boolean) {
         val before = if (copies[expert] == 0) 0.0 else shareOfCopy(expert)
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementEdit.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementEdit.kt
@@ -25,12 +25,13 @@
     isBarred: (rank: Int, expert: Int) -> Boolean,
 ): List<PlacementEdit> {
     val slowest = draft.slowestRank
+    val fastest = draft.fastestRanks(options.receivingRanks)
     val edits = mutableListOf<PlacementEdit>()
     for (expert in 0 until draft.expertCount) {
         if (!draft.holds(slowest, expert)) continue
         val leave = CopyEdit(slowest, expert, isAdded = false)
         if (draft.isReplicated(expert)) edits += PlacementEdit(leave)
-        val open = (0 until draft.rankCount).filter {
+        val open = fastest.filter {
             it != slowest && !draft.holds(it, expert) && !isBarred(it, expert)
         }
         open.forEach { rank ->
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
@@ -9,19 +9,21 @@
  * @property movesPerProposal moved experts of one change at most
  * @property coolDownMilliseconds time between two changes
  * @property periodMilliseconds period of the move budget; a removed copy stays away as long
+ * @property receivingRanks fastest ranks that are tried as the new place of a copy
  * @property allowSwaps whether two copies may change places
  * @property allowReplicas whether an expert may have several copies
  */
 public data class PlacementOptions(
     val tolerance: Double = 0.02,
     val hysteresis: Double = 0.02,
-    val skewOfMove: Double = 0.002,
+    val skewOfMove: Double = 0.0005,
     val movesPerProposal: Int = 16,
     val coolDownMilliseconds: Long = 120_000,
     val periodMilliseconds: Long = 1_800_000,
+    val receivingRanks: Int = 8,
     val allowSwaps: Boolean = true,
     val allowReplicas: Boolean = true,
 ) {
     /** Returns the unused move budget of a layer with [expertCount] experts. */
-    public fun budgetFor(expertCount: Int): MoveBudget = MoveBudget.of(expertCount / 2)
+    public fun budgetFor(expertCount: Int): MoveBudget = MoveBudget.of(expertCount)
 }
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PopularityOptions.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PopularityOptions.kt
@@ -9,6 +9,6 @@
  */
 public data class PopularityOptions(
     val fastMilliseconds: Long = 60_000,
-    val slowMilliseconds: Long = 600_000,
+    val slowMilliseconds: Long = 150_000,
     val shiftDistance: Double = 0.06,
 )
