Measure the planner's cost on warm code and on states after a switch

Cause: the first figures of placement-cost rose and fell with size: single calls of a few microseconds were timed on cold code, and states had neither spent moves nor barred copies. Change: one pass over all sizes before measuring, 20 calls a sample for short actions, inputs ten minutes after a shift, and states that have accepted a change.

--- a/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementCostCommand.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementCostCommand.kt
@@ -27,6 +27,7 @@
 import org.vanilladale.schema.Timestamp
 
 private const val NANOSECONDS_PER_MILLISECOND = 1e6
+private const val REPEATS = 20
 private const val STATES = 200
 private const val WARM_UP_PLANS = 30
 private const val DEFAULT_PLANS = 30
@@ -54,8 +55,8 @@
 
     override fun run() {
         // One pass first, so that no size is measured in code that is not yet compiled.
-        sizes.forEach { text -> repeat(WARM_UP_PLANS) { change(input(text, it.toLong())) } }
-        val costs = sizes.map { cost(it) }
+        sizes.forEach { text -> cost(text, WARM_UP_PLANS) }
+        val costs = sizes.map { cost(it, plans) }
         echo(
             "command: placement-cost --seed $seed --plans $plans --sizes ${sizes.joinToString(
                 ",",
@@ -68,7 +69,7 @@
             val text = cells.joinToString(" | ") { cell -> format("%.4f", cell) }
             echo("| ${it.size} | $text | ${format("%.0f", it.bytes)} |")
         }
-        fit("change ms by experts squared", costs, { squared(it.size) }) { it.changeMilliseconds }
+        fit("change ms by experts", costs, { experts(it.size) }) { it.changeMilliseconds }
         fit("stay ms by ranks times experts", costs, { product(it.size) }) { it.stayMilliseconds }
         fit("report ms by experts", costs, { experts(it.size) }) { it.observeMilliseconds }
         fit("state bytes by experts", costs, { experts(it.size) }) { it.bytes }
@@ -80,8 +81,6 @@
 
     private fun product(size: PlacementSize) = size.ranks.toDouble() * size.experts
 
-    private fun squared(size: PlacementSize) = size.experts.toDouble() * size.experts
-
     private fun fit(name: String, costs: List<Cost>, x: (Cost) -> Double, y: (Cost) -> Double) {
         val fit = linearFit(costs.map { x(it) to y(it) })
         echo(
@@ -92,30 +91,33 @@
 
     private fun format(pattern: String, value: Double) = String.format(Locale.ROOT, pattern, value)
 
-    private fun cost(text: String): Cost {
+    private fun cost(text: String, plans: Int): Cost {
         val inputs = seedsFrom(seed, plans).map { input(text, it) }
         val planner = PlacementPlanner(PlacementOptions(tolerance = HIGH_TOLERANCE))
         val tokens = inputs.first().popularity.shares()
-        val later = at(2)
+        val later = at(SHIFT_SECOND + 2)
         return Cost(
             PlacementSize.parse(text),
-            median(inputs) { change(it) },
-            median(inputs) { planner.plan(it) },
-            median(inputs) { it.popularity.observe(tokens, later) },
+            median(inputs, times = 1) { change(it) },
+            median(inputs, REPEATS) { planner.plan(it) },
+            median(inputs, REPEATS) { it.popularity.observe(tokens, later) },
             bytes(text),
         )
     }
 
     private fun change(input: PlacementInput) = PlacementPlanner().plan(input)
 
-    private fun median(inputs: List<PlacementInput>, action: (PlacementInput) -> Any): Double =
-        spreadOf(
-            inputs.map {
-                val before = clock.currentThreadCpuTime
-                action(it)
-                (clock.currentThreadCpuTime - before) / NANOSECONDS_PER_MILLISECOND
-            },
-        ).median
+    private fun median(
+        inputs: List<PlacementInput>,
+        times: Int,
+        action: (PlacementInput) -> Any,
+    ): Double = spreadOf(
+        inputs.map {
+            val before = clock.currentThreadCpuTime
+            repeat(times) { _ -> action(it) }
+            (clock.currentThreadCpuTime - before) / NANOSECONDS_PER_MILLISECOND / times
+        },
+    ).median
 
     private fun at(second: Long) = Timestamp.fromEpochMilliseconds(second * MILLISECONDS)
 
@@ -132,24 +134,32 @@
         val sum = before.sum()
         val map = balancedMap(size.ranks, size.slots, before.map { it / sum }, speed)
         val state = PlacementState(map, PlacementOptions().budgetFor(size.experts))
-        val popularity = ExpertPopularity.even(size.experts).observe(after, at(0))
-        return PlacementInput(state, popularity, speed, SKEW_WEIGHT, at(1))
+        val popularity = ExpertPopularity.even(size.experts).observe(before, at(0))
+            .observe(after, at(SHIFT_SECOND))
+        return PlacementInput(state, popularity, speed, SKEW_WEIGHT, at(SHIFT_SECOND + 1))
     }
 
     private fun bytes(text: String): Double {
         val before = usedBytes()
-        val kept = List(STATES) { input(text, it.toLong()) }
+        val kept = List(STATES) { switched(input(text, it.toLong())) }
         val used = usedBytes() - before
         // Keeps the states reachable until they have been measured.
         return used.toDouble() / kept.size
     }
 
+    /** Returns [input] after a switch, so that its state holds spent moves and barred copies. */
+    private fun switched(input: PlacementInput): PlacementInput {
+        val proposal = change(input).getOrNull() ?: return input
+        return input.copy(state = input.state.accept(proposal, input.now, PlacementOptions()))
+    }
+
     private fun usedBytes(): Long {
         repeat(COLLECTIONS) { System.gc() }
         return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }
     }
 
     private companion object {
+        const val SHIFT_SECOND = 600L
         const val MILLISECONDS = 1_000L
         const val HIGH_TOLERANCE = 100.0
         const val LEAST_WEIGHT = 0.2
