Use slow marks, cache events and a computed capacity, with one stable hash

Cause: three copies of a rendezvous hash, an entry capacity that nobody could set sensibly, and a lost service answer: the agent asked for the body of an answer after a switch of threads, so 260 of 400 look-ups ended at their deadline on a busy machine. Ruled out: machine load as the cause; the same run had whole streams and the wait for the body never ended. After: see the test 'each of many look-ups'.

--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
 import org.tinylog.kotlin.Logger
 import org.vanilladale.runtime.OperatorEndpoint
 import org.vanilladale.runtime.PlannedStop
@@ -62,6 +63,7 @@
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
         network.listen(scope, settings.peerAddress, ::serve)
+        if (settings.targetType == PoolType.MODEL) scope.launch { cacheEvents().run() }
         Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
     }
 
@@ -96,6 +98,11 @@
         counters.event("connection-${reason.code}")
     }
 
+    private fun cacheEvents() =
+        CacheEventReader(vertx, settings.targetUrl, settings.target) { events ->
+            sessions.forEach { it.send(events) }
+        }
+
     private fun targetCaller(): TargetCaller = when (settings.targetType) {
         PoolType.MODEL -> ModelEngineCaller(vertx, settings.targetUrl, settings.slots).caller
         PoolType.SERVICE -> PlainServiceCaller(vertx, settings.targetUrl, settings.slots).caller
--- a/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
@@ -56,6 +56,7 @@
         .put("prompt", submit.body)
         .put("priority", submit.priority)
         .put("continue", submit.delivered)
+        .put("prefix", submit.prefix?.text)
         .toBuffer()
 
     private fun receiveInto(request: HttpClientRequest, lines: Channel<Line>) {
--- a/core/src/main/kotlin/org/vanilladale/core/admission/WorkspaceLimit.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/admission/WorkspaceLimit.kt
@@ -11,12 +11,17 @@
 /**
  * Requests in flight per workspace and route at one entry. Keep it under a lock.
  *
- * While all fit into [capacity], only the limit of the route applies. Beyond it a workspace gets
- * another request only up to its max-min fair share of [capacity]. A workspace under its share is
+ * While all fit into the capacity, only the limit of the route applies. Beyond it a workspace gets
+ * another request only up to its max-min fair share of it. A workspace under its share is
  * admitted although the capacity is used up, so a large one that came first cannot starve it; the
- * total stays under twice [capacity] plus one request for each workspace.
+ * total stays under twice the capacity plus one request for each workspace.
  */
-public class WorkspaceLimit(private val capacity: Int) {
+public class WorkspaceLimit(private val capacityNow: () -> Int) {
+    /** Creates a limit whose capacity does not change. */
+    public constructor(capacity: Int) : this({ capacity })
+
+    private val capacity: Int get() = capacityNow()
+
     private class Row {
         var total = 0
         val byRoute = HashMap<RouteName, Int>(2)
--- a/core/src/main/kotlin/org/vanilladale/core/configuration/PeerOffers.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/configuration/PeerOffers.kt
@@ -1,6 +1,6 @@
 package org.vanilladale.core.configuration
 
-import org.vanilladale.core.membership.chooseByRendezvous
+import org.vanilladale.core.hash.chooseByRendezvous
 import org.vanilladale.schema.ConfigurationOffer
 import org.vanilladale.schema.DataCentreName
 import org.vanilladale.schema.Deadline
--- a/core/src/main/kotlin/org/vanilladale/core/crash/SuspectBook.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/SuspectBook.kt
@@ -35,7 +35,7 @@
         return when (maxOf(byContent, byKey)) {
             0 -> SuspectDecision.Run
             in 1 until CONVICTING_CRASHES ->
-                rendezvousChoice(listOf(request.content.text), live) { it.text }
+                rendezvousChoice(request.content.text, live) { it.text }
                     ?.let { SuspectDecision.RunIsolated(it) }
                     ?: refuse(RefusalReason.NO_TARGET, byKey)
             else -> refuse(RefusalReason.SUSPECT_CONVICTED, byKey)
--- a/core/src/main/kotlin/org/vanilladale/core/hash/RendezvousHash.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/hash/RendezvousHash.kt
@@ -1,23 +1,36 @@
 package org.vanilladale.core.hash
 
-import java.nio.ByteBuffer
+/** Returns the score of [candidate] for [key]; the candidates with the highest scores win. */
+public fun rendezvousScore(key: String, candidate: String): Long =
+    StableHash.ofPair(StableHash.ofText(key), StableHash.ofText(candidate))
 
 /**
- * Returns the candidate with the highest hash over [key] and its name, or null without candidates.
+ * Returns the candidate with the highest score for [key], or null without candidates.
  *
  * Processes that know the same candidates choose the same one, and a change of other candidates
  * moves only the keys of those that came or went.
  */
 public fun <T : Any> rendezvousChoice(
-    key: List<String>,
+    key: String,
     candidates: Collection<T>,
     nameOf: (T) -> String,
-): T? {
-    val keyFields = key.map { it.toByteArray() }
-    return candidates.maxWithOrNull(
-        compareBy(
-            { ByteBuffer.wrap(sha256OfFields(keyFields + nameOf(it).toByteArray())).getLong() },
-            { nameOf(it) },
-        ),
-    )
+): T? = candidates.maxWithOrNull(compareBy({ rendezvousScore(key, nameOf(it)) }, { nameOf(it) }))
+
+/**
+ * Returns [count] of [candidates] with the highest scores for [key]; when any candidate is
+ * [elsewhere], at least one of the chosen is.
+ */
+public fun <T> chooseByRendezvous(
+    candidates: Collection<T>,
+    count: Int,
+    key: String,
+    name: (T) -> String,
+    elsewhere: (T) -> Boolean,
+): List<T> {
+    if (count <= 0) return emptyList()
+    val ranked = candidates.sortedByDescending { rendezvousScore(key, name(it)) }
+    val chosen = ranked.take(count)
+    if (chosen.any(elsewhere)) return chosen
+    val other = ranked.firstOrNull(elsewhere) ?: return chosen
+    return chosen.take(count - 1) + other
 }
--- a/core/src/main/kotlin/org/vanilladale/core/routing/RendezvousHash.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/hash/StableHash.kt
@@ -1,19 +1,21 @@
-package org.vanilladale.core.routing
+package org.vanilladale.core.hash
 
-/** 64-bit hashes that give the same order on all entries, unlike `hashCode` of another JVM. */
-internal object RendezvousHash {
-    private const val OFFSET = -0x340d631b7bdddcdbL
+/** 64-bit hashes that are the same in every process, unlike `hashCode` of another JVM. */
+public object StableHash {
+    private const val OFFSET_BASIS = -0x340d631b7bdddcdbL
     private const val PRIME = 0x100000001b3L
     private const val MIX_1 = -0x40a7b892e31b1a47L
     private const val MIX_2 = -0x6b2fb644ecceee15L
 
-    fun ofText(text: String): Long {
-        var hash = OFFSET
+    /** Returns the hash of [text]. */
+    public fun ofText(text: String): Long {
+        var hash = OFFSET_BASIS
         for (character in text) hash = (hash xor character.code.toLong()) * PRIME
         return mix(hash)
     }
 
-    fun score(first: Long, second: Long): Long = mix(first * PRIME + second)
+    /** Returns the hash of a pair of hashes. */
+    public fun ofPair(first: Long, second: Long): Long = mix(first * PRIME + second)
 
     @Suppress("MagicNumber") // Shifts of the usual 64-bit finaliser.
     private fun mix(value: Long): Long {
--- a/core/src/main/kotlin/org/vanilladale/core/membership/ProbeChoice.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/membership/ProbeChoice.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.core.membership
 
+import org.vanilladale.core.hash.chooseByRendezvous
 import org.vanilladale.schema.EntryState
 import org.vanilladale.schema.EntryStatus
 
--- a/core/src/main/kotlin/org/vanilladale/core/once/BindingTargetChoice.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/once/BindingTargetChoice.kt
@@ -14,7 +14,7 @@
      * entry that has not learned of the restart yet chooses the same target.
      */
     public fun choose(key: BoundKey, live: Collection<LiveTarget>): LiveTarget? =
-        rendezvousChoice(listOf(key.workspace.text, key.key.text), live) { it.target.text }
+        rendezvousChoice("${key.workspace}\u0000${key.key}", live) { it.target.text }
 
     /** Returns a binding of [key] to one of [live], or null when [live] is empty. */
     public fun bind(
--- a/core/src/main/kotlin/org/vanilladale/core/routing/PrefixAffinity.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/PrefixAffinity.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.core.routing
 
+import org.vanilladale.core.hash.StableHash
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.PrefixId
 import org.vanilladale.schema.TargetId
@@ -80,9 +81,9 @@
         return if (agreed in caching) caching else caching + agreed
     }
 
-    private fun agreement(prefix: PrefixId, target: TargetId): Long = RendezvousHash.score(
-        RendezvousHash.ofText(prefix.text),
-        RendezvousHash.ofText(target.text),
+    private fun agreement(prefix: PrefixId, target: TargetId): Long = StableHash.ofPair(
+        StableHash.ofText(prefix.text),
+        StableHash.ofText(target.text),
     )
 
     public companion object {
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetSubset.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetSubset.kt
@@ -1,6 +1,7 @@
 package org.vanilladale.core.routing
 
 import kotlin.math.ceil
+import org.vanilladale.core.hash.StableHash
 import org.vanilladale.schema.DataCentreName
 import org.vanilladale.schema.PoolTarget
 import org.vanilladale.schema.TargetId
@@ -69,8 +70,8 @@
     private val size: Int,
     slack: Double,
 ) {
-    private val entryHashes = entries.map { RendezvousHash.ofText(it.vm.text) }.toLongArray()
-    private val targetHashes = targets.map { RendezvousHash.ofText(it.target.text) }.toLongArray()
+    private val entryHashes = entries.map { StableHash.ofText(it.vm.text) }.toLongArray()
+    private val targetHashes = targets.map { StableHash.ofText(it.target.text) }.toLongArray()
     private val mean = entries.size.toDouble() * size / targets.size.coerceAtLeast(1)
     private val highest = ceil(mean * slack - ROUNDING).toInt()
     private val chosen = entries.map { LinkedHashSet<Int>() }
@@ -94,7 +95,7 @@
         if (open.isEmpty()) return
         val pairs = open.flatMap { entry ->
             targets.indices.filter { belongs(entry, it) }.map { target ->
-                Pair(entry, target, RendezvousHash.score(entryHashes[entry], targetHashes[target]))
+                Pair(entry, target, StableHash.ofPair(entryHashes[entry], targetHashes[target]))
             }
         }
         for (pair in pairs.sortedBy { it.score }) {
@@ -109,7 +110,7 @@
             val target = targets.indices.filter { it !in chosen[entry] }.minWith(
                 compareBy(
                     { entriesOfTarget[it] },
-                    { RendezvousHash.score(entryHashes[entry], targetHashes[it]) },
+                    { StableHash.ofPair(entryHashes[entry], targetHashes[it]) },
                 ),
             )
             take(entry, target)
--- a/core/src/test/kotlin/org/vanilladale/core/configuration/ConfigurationStateProofTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/configuration/ConfigurationStateProofTest.kt
@@ -51,7 +51,9 @@
 
     @Test
     fun `accepting a revision when it is seen loses it and allows two contents`() {
-        val found = violations(ConfigurationRules(accepts = { true })).report("accepted when seen")
+        // Two contents come into force in about 1 of 100 runs: all seeds of the proof are needed.
+        val rules = ConfigurationRules(accepts = { true })
+        val found = violations(rules, seeds = SEEDS.toLong()).report("accepted when seen")
         expectThat(found).contains("two contents", "lost")
     }
 
--- a/core/src/test/kotlin/org/vanilladale/core/membership/EntryDirectoryTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/membership/EntryDirectoryTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.random.Random
 import org.junit.jupiter.api.Test
+import org.vanilladale.core.hash.chooseByRendezvous
 import org.vanilladale.schema.DataCentreName
 import org.vanilladale.schema.EntryState
 import org.vanilladale.schema.EntryStatus
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -22,6 +22,7 @@
 import org.vanilladale.runtime.PlatformReader
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
+import org.vanilladale.schema.CacheEvents
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.EntryAddress
 import org.vanilladale.schema.EntryList
@@ -74,7 +75,7 @@
         router,
         counters,
         AttemptTiming(settings.firstAnswerMilliseconds, settings.progressMilliseconds),
-        settings.capacity,
+        fleet::capacity,
         ::systemNow,
     )
 
@@ -161,6 +162,8 @@
                 fleet.poolsOf(target).forEach { router.reported(it, target, load) }
             }
 
+            is CacheEvents -> fleet.poolsOf(target).forEach { router.cacheChanged(it, frame) }
+
             is Leaving -> {
                 val leavingAt = Deadline.fromEpochMilliseconds(frame.leavingAt.epochMilliseconds)
                 fleet.poolsOf(target).forEach { router.markLeaving(it, target, leavingAt) }
--- a/entry/src/main/kotlin/org/vanilladale/entry/PoolRouting.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/PoolRouting.kt
@@ -3,6 +3,7 @@
 import kotlin.random.Random
 import org.vanilladale.core.retry.RetryBudget
 import org.vanilladale.core.routing.PrefixAffinity
+import org.vanilladale.core.routing.SlowTargets
 import org.vanilladale.core.routing.TargetChoice
 import org.vanilladale.core.routing.TargetLoadView
 import org.vanilladale.core.routing.affinityWithBoundedLoad
@@ -12,6 +13,7 @@
 /** What this entry knows for the routing of one pool; kept in a shard under its lock. */
 internal class PoolRouting(random: Random) {
     val view = TargetLoadView()
+    val slowTargets = SlowTargets(view)
     val affinity = PrefixAffinity()
     val choice = TargetChoice(view, affinityWithBoundedLoad(view, affinity, random))
     private val retryBudgets = HashMap<RouteName, Budget>()
--- a/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
@@ -28,7 +28,7 @@
     private val router: TargetRouter,
     private val counters: SystemCounters,
     private val timing: AttemptTiming,
-    capacity: Int,
+    capacity: () -> Int,
     private val clock: () -> Timestamp,
 ) {
     private val nextRequest = AtomicLong(1)
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetFleet.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetFleet.kt
@@ -1,6 +1,7 @@
 package org.vanilladale.entry
 
 import java.util.concurrent.ConcurrentHashMap
+import org.vanilladale.core.admission.EntryCapacity
 import org.vanilladale.core.configuration.JoinedTables
 import org.vanilladale.core.routing.SubsetEntry
 import org.vanilladale.core.routing.TargetSubset
@@ -15,13 +16,14 @@
     private class Assignment(
         val targets: Map<PoolName, List<TargetId>>,
         val pools: Map<TargetId, List<PoolName>>,
+        val capacity: Int,
     )
 
     private val own = SubsetEntry(settings.vm, settings.dataCentre)
     private val incarnations = ConcurrentHashMap<TargetId, Incarnation>()
 
     @Volatile
-    private var assignment = Assignment(emptyMap(), emptyMap())
+    private var assignment = Assignment(emptyMap(), emptyMap(), 0)
 
     /** Live entries of the fleet, which share the targets evenly. */
     @Volatile
@@ -33,6 +35,9 @@
     /** Returns the pools that name [target]. */
     fun poolsOf(target: TargetId): List<PoolName> = assignment.pools[target].orEmpty()
 
+    /** Returns the requests in flight from which on workspaces get fair shares. */
+    fun capacity(): Int = assignment.capacity
+
     /** Computes the subsets for [tables] and returns the targets that need a connection. */
     fun use(tables: JoinedTables): List<PoolTarget> {
         val pools = tables.tables.pools
@@ -42,7 +47,8 @@
         }
         val byTarget = subsets.flatMap { (pool, targets) -> targets.map { it to pool } }
             .groupBy({ it.first }, { it.second })
-        assignment = Assignment(subsets, byTarget)
+        assignment =
+            Assignment(subsets, byTarget, EntryCapacity.fromTables(tables.tables, entries.size))
         return pools.flatMap { it.targets }
             .filter { it.target in byTarget }
             .distinctBy { it.target }
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -13,6 +13,7 @@
 import org.vanilladale.core.retry.RetryDecision
 import org.vanilladale.core.routing.ChoiceRequest
 import org.vanilladale.core.shard.Sharded
+import org.vanilladale.schema.CacheEvents
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Load
 import org.vanilladale.schema.PoolName
@@ -80,7 +81,27 @@
 
     /** Takes a load report of [target]. */
     fun reported(pool: PoolName, target: TargetId, load: Load) {
-        withPool(pool) { view.reported(target, load, clock()) }
+        val peers = connected(pool)
+        withPool(pool) {
+            val now = clock()
+            view.reported(target, load, now)
+            slowTargets.reported(target, load, peers, now)
+        }
+    }
+
+    /** Takes the cache events of an engine, which may be late and have gaps. */
+    fun cacheChanged(pool: PoolName, events: CacheEvents) {
+        withPool(pool) {
+            val now = clock()
+            events.events.forEach { event ->
+                val at = view.ownTimeOf(events.target, event.raisedAt, now)
+                if (event.stored) {
+                    affinity.stored(event.prefix, events.target, at)
+                } else {
+                    affinity.evicted(event.prefix, events.target, at)
+                }
+            }
+        }
     }
 
     /** Gives [target] no new work from [leavingAt] on. */
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
@@ -14,6 +14,8 @@
  * base64 and `continue` is text that the caller holds already, and streams NDJSON lines
  * `{"text": ...}` up to `{"done": true}`. Closing the connection cancels the request. A request
  * with the `stream` of an earlier one resumes it: the tokens that exist already come at once.
+ * A request whose `prefix` is not cached first waits for the prefill steps. Cache changes are
+ * published at `GET /v1/cache-events?after=N` as `{last, events: [{prefix, stored, raisedAt}]}`.
  * `GET /v1/load` returns `{running, waiting, slots}` as it was one lag ago. `GET /health` is 200.
  * `PUT /control` with `{stallMilliseconds}` stops all steps for that time; `{crashOn: text}` ends
  * the process when a prompt that contains the text runs.
@@ -25,6 +27,8 @@
      * @property slots requests that run in one batch
      * @property stepMilliseconds time of one step, which makes one token for each running request
      * @property tokens tokens in an answer when the request names no number
+     * @property prefillSteps steps before the first token of a request whose prefix is not cached
+     * @property cachedPrefixes prefixes that fit into the cache
      * @property loadLagMilliseconds age of the load report
      * @property onCrash ends the process
      */
@@ -32,6 +36,8 @@
         public val slots: Int,
         public val stepMilliseconds: Long,
         public val tokens: Int,
+        public val prefillSteps: Int,
+        public val cachedPrefixes: Int,
         public val loadLagMilliseconds: Long,
         public val onCrash: () -> Unit,
     )
@@ -42,6 +48,7 @@
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Int>): Boolean =
             size > KEPT_STREAMS
     }
+    private val cache = PrefixCache(settings.cachedPrefixes)
     private var stalledUntil = 0L
     private var crashOn: String? = null
     private var reported = load()
@@ -50,6 +57,10 @@
     public fun start(port: Int): HttpServer {
         val router = Router.router(vertx)
         router.post("/v1/generate").handler(BodyHandler.create(false)).handler(::generate)
+        router.get("/v1/cache-events").handler { context ->
+            val after = context.request().getParam("after")?.toLongOrNull() ?: 0
+            context.json(synchronized(this) { cache.eventsAfter(after) })
+        }
         router.get("/v1/load").handler { it.json(synchronized(this) { reported }) }
         router.get("/health").handler { it.response().end() }
         router.put("/control").handler(BodyHandler.create(false)).handler(::control)
@@ -72,7 +83,11 @@
             next = AnswerTokens.count(body.getString("continue", "")),
             response = response,
         )
-        synchronized(this) { stream.replay(produced[id] ?: 0) }
+        synchronized(this) {
+            stream.replay(produced[id] ?: 0)
+            val prefix = body.getString("prefix")
+            if (prefix != null && !cache.use(prefix)) stream.prefillSteps = settings.prefillSteps
+        }
         if (stream.done) return
         response.closeHandler { stream.cancelled = true }
         synchronized(this) {
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineCommand.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineCommand.kt
@@ -13,10 +13,19 @@
     private val slots by option(help = "Requests in one batch").int().default(8)
     private val stepMilliseconds by option(help = "Time of one step").long().default(10)
     private val tokens by option(help = "Tokens in an answer").int().default(32)
+    private val prefillSteps by option(help = "Steps of a prefill without cache").int().default(10)
+    private val cachedPrefixes by option(help = "Prefixes in the cache").int().default(20)
     private val loadLagMilliseconds by option(help = "Age of the load report").long().default(500)
 
     override fun run() {
-        val settings = Engine.Settings(slots, stepMilliseconds, tokens, loadLagMilliseconds) {
+        val settings = Engine.Settings(
+            slots,
+            stepMilliseconds,
+            tokens,
+            prefillSteps,
+            cachedPrefixes,
+            loadLagMilliseconds,
+        ) {
             Runtime.getRuntime().halt(1)
         }
         Engine(Vertx.vertx(), settings).start(port)
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineStream.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineStream.kt
@@ -15,10 +15,17 @@
     @Volatile
     var cancelled: Boolean = false
 
+    /** Steps that remain before the first token. */
+    var prefillSteps = 0
+
     val done: Boolean get() = cancelled || next >= tokens
 
     fun step() {
         if (done) return
+        if (prefillSteps > 0) {
+            prefillSteps -= 1
+            return
+        }
         writeLine(JsonObject().put("text", AnswerTokens.token(prompt, next)))
         next += 1
         if (next >= tokens) {
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/WholePathTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/WholePathTest.kt
@@ -61,6 +61,13 @@
         expectThat(answer.body()).contains("workspace-1/stock-1")
     }
 
+    /** Guards against a service answer that is lost between two threads of the agent. */
+    @Test
+    fun `each of many look-ups is answered`() {
+        val statuses = (1..400).map { fleet.send("entry-0", "stock", "many-$it", "").statusCode() }
+        expectThat(statuses.groupingBy { it }.eachCount()).isEqualTo(mapOf(200 to 400))
+    }
+
     @Test
     fun `an unknown kind is refused with reason and run state`() {
         val answer = fleet.send("entry-0", "unknown", "unknown-1", "")
