Report the faults of both tables of all kinds at once

Cause: the operator's check reported syntax and type faults first and range and join faults only after those were corrected, so that one table took several rounds. Ruled out: joining only the readable rows; this shifts row numbers and reports pools as missing whose row has another fault. Change: readTables replaces unreadable values by valid ones, runs the range and join checks on the result and drops faults at or around unreadable places. Values that only a value class refuses (an address without port) now name their field; TablesTest expects routes[0].kind instead of the less exact routes[0] for it. Conclusion: one run of check shows everything. Entries still read published tables in two steps.

--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/configuration/TableValueCheck.kt
@@ -0,0 +1,34 @@
+package org.vanilladale.core.configuration
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.descriptors.SerialDescriptor
+import org.vanilladale.schema.DataCentreName
+import org.vanilladale.schema.GroupId
+import org.vanilladale.schema.ModelName
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.RequestKind
+import org.vanilladale.schema.RouteName
+import org.vanilladale.schema.SocketAddressText
+import org.vanilladale.schema.TargetId
+
+private val parsers: Map<String, (String) -> Any> = mapOf(
+    "DataCentreName" to DataCentreName::parse,
+    "GroupId" to GroupId::parse,
+    "ModelName" to ModelName::parse,
+    "PoolName" to PoolName::parse,
+    "RequestKind" to RequestKind::parse,
+    "RouteName" to RouteName::parse,
+    "SocketAddressText" to SocketAddressText::parse,
+    "TargetId" to TargetId::parse,
+)
+
+/**
+ * Returns why [text] is no value of the value class that [descriptor] names, or null when it is
+ * one or the class has no rules.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun valueFaultOrNull(descriptor: SerialDescriptor, text: String): String? {
+    val name = descriptor.serialName.removeSuffix("?").substringAfterLast('.')
+    val parse = parsers[name] ?: return null
+    return runCatching { parse(text) }.exceptionOrNull()?.message
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/configuration/TablesCheck.kt
@@ -0,0 +1,49 @@
+package org.vanilladale.core.configuration
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.toNonEmptyListOrNull
+import org.vanilladale.schema.Pool
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.Route
+import org.vanilladale.schema.Tables
+
+/**
+ * Reads, checks and joins the operators' two tables; the left side holds the faults of all kinds.
+ *
+ * Rows with syntax and type faults are checked for ranges and the join as well, as far as their
+ * other fields tell: a fault that only follows from an unreadable value is left out.
+ */
+public fun readTables(
+    revision: Revision,
+    routesText: String,
+    poolsText: String,
+): Either<NonEmptyList<TableFault>, JoinedTables> {
+    val routes = readRows("routes", routesText, Route.serializer())
+    val pools = readRows("pools", poolsText, Pool.serializer())
+    val unreadable = routes.faults + pools.faults
+    if (unreadable.isEmpty()) {
+        return parseTables(revision, routesText, poolsText).flatMap(JoinedTables::fromTables)
+    }
+    val repaired = Tables(revision, routes.rows, pools.rows)
+    val poolNamesKnown = pools.faults.none { it.place.matches(UNKNOWN_POOL_NAME) }
+    val further = findTableFaults(repaired).filter { fault ->
+        unreadable.none { related(it.place, fault.place) } &&
+            (poolNamesKnown || !fault.place.matches(POOL_OF_ROUTE))
+    }
+    return (unreadable + further).toNonEmptyListOrNull()!!.left()
+}
+
+/** True when one place is the other or a part of it. */
+private fun related(one: String, other: String): Boolean =
+    one == other || isPartOf(one, other) || isPartOf(other, one)
+
+private fun isPartOf(part: String, whole: String): Boolean =
+    part.startsWith(whole) && part[whole.length] in ".["
+
+private val POOL_OF_ROUTE = Regex("""routes\[\d+]\.pool""")
+
+/** Places whose fault hides the name of at least one pool. */
+private val UNKNOWN_POOL_NAME = Regex("""pools( line \d+)?|pools\[\d+](\.name)?""")
--- a/core/src/main/kotlin/org/vanilladale/core/configuration/TablesText.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/configuration/TablesText.kt
@@ -45,29 +45,33 @@
     routesText: String,
     poolsText: String,
 ): Either<NonEmptyList<TableFault>, Tables> {
-    val faults = mutableListOf<TableFault>()
-    val routes = parseRows("routes", routesText, Route.serializer(), faults)
-    val pools = parseRows("pools", poolsText, Pool.serializer(), faults)
-    return faults.toNonEmptyListOrNull()?.left() ?: Tables(revision, routes, pools).right()
+    val routes = readRows("routes", routesText, Route.serializer())
+    val pools = readRows("pools", poolsText, Pool.serializer())
+    return (routes.faults + pools.faults).toNonEmptyListOrNull()?.left()
+        ?: Tables(revision, routes.rows, pools.rows).right()
 }
 
-private fun <T> parseRows(
-    place: String,
-    text: String,
-    serializer: KSerializer<T>,
-    faults: MutableList<TableFault>,
-): List<T> {
-    val rows = parseElementOrNull(place, text, faults) ?: return emptyList()
-    if (rows !is JsonArray) {
-        faults += TableFault(place, quoted(rows), "write the table as a JSON array of rows")
-        return emptyList()
+/**
+ * Rows of one table under their own numbers.
+ *
+ * @property rows all rows; values at faulty places are replaced by valid ones
+ */
+internal class ReadRows<T>(val rows: List<T>, val faults: List<TableFault>)
+
+internal fun <T> readRows(place: String, text: String, serializer: KSerializer<T>): ReadRows<T> {
+    val faults = mutableListOf<TableFault>()
+    val table = parseElementOrNull(place, text, faults)
+    if (table != null && table !is JsonArray) {
+        faults += TableFault(place, quoted(table), "write the table as a JSON array of rows")
     }
-    return rows.mapIndexedNotNull { index, row ->
+    val rows = (table as? JsonArray).orEmpty().mapIndexed { index, row ->
         val rowPlace = "$place[$index]"
         val rowFaults = buildList { addElementFaults(rowPlace, row, serializer.descriptor) }
         faults += rowFaults
-        if (rowFaults.isEmpty()) decodeRowOrNull(rowPlace, row, serializer, faults) else null
+        val repair = RowRepair(rowFaults.map { it.place }.toSet())
+        decodeRow(rowPlace, repair.repair(rowPlace, row, serializer.descriptor), serializer, faults)
     }
+    return ReadRows(rows, faults)
 }
 
 private fun parseElementOrNull(
@@ -85,16 +89,18 @@
     null
 }
 
-private fun <T> decodeRowOrNull(
+/** Decodes [row]; a value that only the decoder refuses makes the whole row a substitute. */
+private fun <T> decodeRow(
     place: String,
     row: JsonElement,
     serializer: KSerializer<T>,
     faults: MutableList<TableFault>,
-): T? = try {
+): T = try {
     tablesJson.decodeFromJsonElement(serializer, row)
 } catch (exception: IllegalArgumentException) {
     faults += TableFault(place, exception.message.orEmpty(), "correct the value in this row")
-    null
+    val substitute = RowRepair(setOf(place)).repair(place, row, serializer.descriptor)
+    tablesJson.decodeFromJsonElement(serializer, substitute)
 }
 
 private fun MutableList<TableFault>.addElementFaults(
@@ -104,7 +110,7 @@
 ) {
     when {
         element is JsonNull && descriptor.isNullable -> Unit
-        descriptor.isInline -> addElementFaults(place, element, descriptor.getElementDescriptor(0))
+        descriptor.isInline -> addInlineFaults(place, element, descriptor)
         descriptor.kind == StructureKind.CLASS -> addObjectFaults(place, element, descriptor)
         descriptor.kind == StructureKind.LIST -> if (element is JsonArray) {
             element.forEachIndexed { index, item ->
@@ -117,6 +123,19 @@
     }
 }
 
+private fun MutableList<TableFault>.addInlineFaults(
+    place: String,
+    element: JsonElement,
+    descriptor: SerialDescriptor,
+) {
+    val before = size
+    addElementFaults(place, element, descriptor.getElementDescriptor(0))
+    if (size > before || element !is JsonPrimitive) return
+    valueFaultOrNull(descriptor, element.content)?.let { remedy ->
+        add(TableFault(place, quoted(element), remedy))
+    }
+}
+
 private fun MutableList<TableFault>.addObjectFaults(
     place: String,
     element: JsonElement,
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/configuration/TablesCheckTest.kt
@@ -0,0 +1,148 @@
+package org.vanilladale.core.configuration
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.schema.Revision
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEqualTo
+
+/** Guards against an operator who learns of a second fault only after correcting the first. */
+class TablesCheckTest {
+    private val route = """{"name":"r","kind":"k","pool":"p","idempotent":false,
+        "deadlineMilliseconds":900}"""
+    private val target = """{"target":"a","agentAddress":"10.0.0.1:7","dataCentre":"x"}"""
+    private val pool = """{"name":"p","type":"service","targets":[$target]}"""
+
+    private fun String.with(from: String, to: String): String {
+        check(from in this) { "'$from' isn't in '$this'" }
+        return replace(from, to)
+    }
+
+    private fun places(routes: String, pools: String) =
+        readTables(Revision(1), routes, pools).leftOrNull()?.map { it.place }.orEmpty()
+
+    private val late =
+        route.with("900", "0").with("\"r\"", "\"r2\"").with("\"k\"", "\"k2\"")
+
+    private val rowCases = listOf(
+        Case(
+            "type, range and join faults in three rows",
+            "[${route.with("false", "\"no\"")}, $late, ${route.with("\"p\"", "\"q\"")}]",
+            "[$pool]",
+            "routes[0].idempotent",
+            "routes[1].deadlineMilliseconds",
+            "routes[2].pool",
+            "routes[2].name",
+            "routes[2].kind",
+        ),
+        Case(
+            "a type and a range fault in one row",
+            "[${route.with("900", "-1").with("false", "3")}]",
+            "[$pool]",
+            "routes[0].idempotent",
+            "routes[0].deadlineMilliseconds",
+        ),
+        Case(
+            "a row that is no object keeps the numbers of the next rows",
+            "[3, ${route.with("900", "0")}]",
+            "[$pool]",
+            "routes[0]",
+            "routes[1].deadlineMilliseconds",
+        ),
+    )
+
+    private val joinCases = listOf(
+        Case(
+            "an unreadable table of pools hides no fault of the routes but the join",
+            "[${route.with("900", "0")}]",
+            "[{",
+            "pools line 1",
+            "routes[0].deadlineMilliseconds",
+        ),
+        Case(
+            "an unreadable table of routes hides no fault of the pools",
+            "{}",
+            "[${pool.with("[$target]", "[]")}]",
+            "routes",
+            "pools[0].targets",
+        ),
+        Case(
+            "a pool with an unreadable name may be the one that a route names",
+            "[$route]",
+            "[${pool.with("\"p\"", "5")}]",
+            "pools[0].name",
+        ),
+        Case(
+            "a pool without a name may be the one that a route names",
+            "[$route]",
+            "[${pool.with("\"name\":\"p\",", "")}]",
+            "pools[0].name",
+        ),
+        Case(
+            "a pool with a readable name is joined despite another fault",
+            "[$route, ${late.with("\"p\"", "\"q\"")}]",
+            "[${pool.with("service", "servce")}]",
+            "pools[0].type",
+            "routes[1].pool",
+            "routes[1].deadlineMilliseconds",
+        ),
+    )
+
+    private val valueCases = listOf(
+        Case(
+            "a model pool with an unreadable model",
+            "[${route.with("false", "true")}]",
+            "[${pool.with("\"service\"", "\"model\",\"model\":4")}]",
+            "pools[0].model",
+        ),
+        Case(
+            "an address without port beside a range fault",
+            "[$route]",
+            "[${pool.with(":7\"", "\"").with("\"type\"", "\"skewWeight\":2,\"type\"")}]",
+            "pools[0].targets[0].agentAddress",
+            "pools[0].skewWeight",
+        ),
+        Case(
+            "a target with an unreadable group beside a duplicate target",
+            "[$route]",
+            "[${pool.with(
+                "[$target]",
+                "[$target, ${target.with("}", ",\"group\":1,\"rank\":0}")}]",
+            )}]",
+            "pools[0].targets[1].group",
+            "pools[0].targets[1].target",
+        ),
+        Case(
+            "an unknown field beside a missing one and a range fault",
+            "[${route.with("\"kind\"", "\"knd\"").with("900", "900,\"priority\":10")}]",
+            "[$pool]",
+            "routes[0].knd",
+            "routes[0].kind",
+            "routes[0].priority",
+        ),
+    )
+
+    @Test
+    fun `valid tables are joined`() {
+        val joined = readTables(Revision(7), "[$route]", "[$pool]").getOrNull()
+        expectThat(joined?.revision).isEqualTo(Revision(7))
+    }
+
+    @Test
+    fun `faults of all kinds come at once and without follow-up faults`() {
+        val cases = rowCases + joinCases + valueCases
+        cases.forEach { case ->
+            expectThat(places(case.routes, case.pools)).describedAs(case.name)
+                .containsExactlyInAnyOrder(case.places)
+        }
+    }
+
+    private class Case(
+        val name: String,
+        val routes: String,
+        val pools: String,
+        vararg places: String,
+    ) {
+        val places = places.toList()
+    }
+}
--- a/core/src/test/kotlin/org/vanilladale/core/configuration/TablesTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/configuration/TablesTest.kt
@@ -38,7 +38,7 @@
                 pools,
                 listOf("routes[0].pol", "routes[0].pool"),
             ),
-            Triple(routes.replace("\"k\"", "\"\""), pools, listOf("routes[0]")),
+            Triple(routes.replace("\"k\"", "\"\""), pools, listOf("routes[0].kind")),
             Triple(routes, pools.replace("service", "servce"), listOf("pools[0].type")),
             Triple(
                 routes,
--- a/operator/src/main/kotlin/org/vanilladale/operator/TablesOptions.kt
+++ b/operator/src/main/kotlin/org/vanilladale/operator/TablesOptions.kt
@@ -2,14 +2,13 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
-import arrow.core.flatMap
 import com.github.ajalt.clikt.parameters.groups.OptionGroup
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.file
 import org.vanilladale.core.configuration.JoinedTables
 import org.vanilladale.core.configuration.TableFault
-import org.vanilladale.core.configuration.parseTables
+import org.vanilladale.core.configuration.readTables
 import org.vanilladale.schema.Revision
 
 /** The files with the two tables. */
@@ -23,8 +22,7 @@
 
     /** Reads, checks and joins the tables; the left side holds every fault. */
     fun read(): Either<NonEmptyList<TableFault>, JoinedTables> =
-        parseTables(FILE_REVISION, routes.readText(), pools.readText())
-            .flatMap { JoinedTables.fromTables(it) }
+        readTables(FILE_REVISION, routes.readText(), pools.readText())
 
     private companion object {
         /** Files have no revision; the configuration service gives it. */
