Check the ranges of settings and name all faults at once

Cause: settings were only parsed; an interval of 0, a silence shorter than two heartbeats or one address at two fields was found only by its effect. Ruled out: checks in the programs themselves; check-settings would not see them. Change: readEntrySettings and readAgentSettings in core/settings, used by both programs and by check-settings. They also check URLs, that secret and token differ, and that a body fits into a frame with its headers. Conclusion: parse faults are still reported one at a time, as the JSON reader does.

--- a/agent/src/main/kotlin/org/vanilladale/agent/Main.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Main.kt
@@ -9,9 +9,8 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.file
 import kotlinx.coroutines.runBlocking
-import org.vanilladale.core.settings.SettingsText
+import org.vanilladale.core.settings.readAgentSettings
 import org.vanilladale.runtime.onTermination
-import org.vanilladale.schema.AgentSettings
 
 private class AgentCommand : CliktCommand("vanilladale-agent") {
     private val settings by option(help = "Settings file, JSON with comments")
@@ -22,8 +21,8 @@
     override fun help(context: Context) = "Runs in a target VM's slot and serves its target."
 
     override fun run() {
-        val parsed = SettingsText.parse(AgentSettings.serializer(), settings.readText())
-            .fold({ throw CliktError(it.message) }, { it })
+        val parsed = readAgentSettings(settings.readText())
+            .fold({ faults -> throw CliktError(faults.joinToString("\n") { it.message }) }, { it })
         if (check) return
         val agent = Agent(parsed)
         runBlocking { agent.start() }
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/settings/SettingsRules.kt
@@ -0,0 +1,87 @@
+package org.vanilladale.core.settings
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.nonEmptyListOf
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import kotlinx.serialization.DeserializationStrategy
+import org.vanilladale.schema.AgentSettings
+import org.vanilladale.schema.EntrySettings
+
+/** A frame holds 1 MiB; the rest of it is left for the headers of the request. */
+private const val LARGEST_BODY_BYTES = 1_048_576 - 16_384
+
+/** Reads and checks the settings of an entry; the left side holds every fault. */
+public fun readEntrySettings(text: String): Either<NonEmptyList<SettingsFault>, EntrySettings> =
+    read(EntrySettings.serializer(), text, ::findEntryFaults)
+
+/** Reads and checks the settings of an agent; the left side holds every fault. */
+public fun readAgentSettings(text: String): Either<NonEmptyList<SettingsFault>, AgentSettings> =
+    read(AgentSettings.serializer(), text, ::findAgentFaults)
+
+private fun <T> read(
+    deserializer: DeserializationStrategy<T>,
+    text: String,
+    check: (T) -> List<SettingsFault>,
+): Either<NonEmptyList<SettingsFault>, T> = SettingsText.parse(deserializer, text)
+    .mapLeft { nonEmptyListOf(it) }
+    .flatMap { check(it).toNonEmptyListOrNull()?.left() ?: it.right() }
+
+private fun findEntryFaults(settings: EntrySettings): List<SettingsFault> = SettingsCheck().run {
+    val addresses = listOf(
+        "callerAddress" to settings.callerAddress,
+        "peerAddress" to settings.peerAddress,
+        "operatorAddress" to settings.operatorAddress,
+    )
+    distinct(addresses + settings.peers.mapIndexed { index, peer -> "peers[$index]" to peer })
+    secrets(settings.peerSecret, settings.operatorToken)
+    urls(
+        "configurationServiceUrl" to settings.configurationServiceUrl,
+        "vmListUrl" to settings.vmListUrl,
+    )
+    positive(
+        "subsetSize" to settings.subsetSize,
+        "storedBy" to settings.storedBy,
+        "maximumBodyBytes" to settings.maximumBodyBytes,
+        "bodyMilliseconds" to settings.bodyMilliseconds,
+        "keepEntriesMilliseconds" to settings.keepEntriesMilliseconds,
+        "heartbeatMilliseconds" to settings.heartbeatMilliseconds,
+        "silenceMilliseconds" to settings.silenceMilliseconds,
+        "drainMilliseconds" to settings.drainMilliseconds,
+        "capacity" to settings.capacity,
+        "firstAnswerMilliseconds" to settings.firstAnswerMilliseconds,
+        "progressMilliseconds" to settings.progressMilliseconds,
+    )
+    atMost("maximumBodyBytes", settings.maximumBodyBytes, LARGEST_BODY_BYTES)
+    silence(settings.heartbeatMilliseconds, settings.silenceMilliseconds)
+    faults
+}
+
+private fun findAgentFaults(settings: AgentSettings): List<SettingsFault> = SettingsCheck().run {
+    distinct(
+        listOf(
+            "peerAddress" to settings.peerAddress,
+            "operatorAddress" to settings.operatorAddress,
+        ),
+    )
+    secrets(settings.peerSecret, settings.operatorToken)
+    urls(
+        "targetUrl" to settings.targetUrl,
+        "configurationServiceUrl" to settings.configurationServiceUrl,
+        "vmListUrl" to settings.vmListUrl,
+    )
+    positive(
+        "slots" to settings.slots,
+        "longestBindingMilliseconds" to settings.longestBindingMilliseconds,
+        "longestLeaseMilliseconds" to settings.longestLeaseMilliseconds,
+        "heartbeatMilliseconds" to settings.heartbeatMilliseconds,
+        "silenceMilliseconds" to settings.silenceMilliseconds,
+        "drainMilliseconds" to settings.drainMilliseconds,
+    )
+    notNegative("queue" to settings.queue)
+    silence(settings.heartbeatMilliseconds, settings.silenceMilliseconds)
+    faults
+}
--- a/entry/src/main/kotlin/org/vanilladale/entry/Main.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Main.kt
@@ -9,9 +9,8 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.file
 import kotlinx.coroutines.runBlocking
-import org.vanilladale.core.settings.SettingsText
+import org.vanilladale.core.settings.readEntrySettings
 import org.vanilladale.runtime.onTermination
-import org.vanilladale.schema.EntrySettings
 
 private class EntryCommand : CliktCommand("vanilladale-entry") {
     private val settings by option(help = "Settings file, JSON with comments")
@@ -22,8 +21,8 @@
     override fun help(context: Context) = "Runs on an entry VM and serves callers."
 
     override fun run() {
-        val parsed = SettingsText.parse(EntrySettings.serializer(), settings.readText())
-            .fold({ throw CliktError(it.message) }, { it })
+        val parsed = readEntrySettings(settings.readText())
+            .fold({ faults -> throw CliktError(faults.joinToString("\n") { it.message }) }, { it })
         if (check) return
         val entry = Entry(parsed)
         runBlocking { entry.start() }
--- a/operator/src/main/kotlin/org/vanilladale/operator/CheckSettingsCommand.kt
+++ b/operator/src/main/kotlin/org/vanilladale/operator/CheckSettingsCommand.kt
@@ -7,13 +7,12 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.file
-import org.vanilladale.core.settings.SettingsText
-import org.vanilladale.schema.AgentSettings
-import org.vanilladale.schema.EntrySettings
+import org.vanilladale.core.settings.readAgentSettings
+import org.vanilladale.core.settings.readEntrySettings
 
 internal class CheckSettingsCommand : CliktCommand("check-settings") {
     private val program by option(help = "Program that reads the settings")
-        .choice("entry" to EntrySettings.serializer(), "agent" to AgentSettings.serializer())
+        .choice("entry" to ::readEntrySettings, "agent" to ::readAgentSettings)
         .required()
     private val settings by option(help = "Settings file, JSON with comments")
         .file(mustExist = true, canBeDir = false)
@@ -22,9 +21,9 @@
     override fun help(context: Context) = "Checks the settings of an entry or agent."
 
     override fun run() {
-        SettingsText.parse(program, settings.readText()).fold(
-            { fault ->
-                echo(fault.message)
+        program(settings.readText()).fold(
+            { faults ->
+                faults.forEach { echo(it.message) }
                 throw ProgramResult(ExitCode.FAULTS)
             },
             { echo("${settings.name}: no faults") },
