Read the body of a plain service's answer on the event loop

Cause: the agent awaited the response and then asked for its body in a coroutine. When the coroutine resumed late, body or end had already arrived without a handler: the call hung until its deadline, or an empty text was passed on and ended as a whole answer of length 0. Seen: two lookups through entry and agent on a busy machine needed 2 and 4 attempts because of deadline-passed, and the second ended as a whole answer without text. Ruled out: a cold start alone; the second lookup came seconds after the first had completed. The model engine's caller sets its handlers on the event loop and is not affected. Change: the body is asked for in the same event loop turn as the response. Figures: PlainServiceCallerTest resumes each step 50 ms late. After: 5 of 5 calls whole. Conclusion: matters for orders most, whose outcome would have become unknown. The first lookup of a cold process can still exceed the deadline of 1,000 ms on a busy machine.

--- a/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
@@ -28,8 +28,11 @@
         var finished = false
         try {
             val answer = runCatchingIo {
-                val response = request.send(Buffer.buffer(submit.body)).coAwait()
-                response.statusCode() to response.body().coAwait()
+                // The body is asked for on the event loop: a coroutine that resumes later would
+                // miss what has arrived by then.
+                request.send(Buffer.buffer(submit.body)).compose { response ->
+                    response.body().map { response.statusCode() to it }
+                }.coAwait()
             } ?: return TargetOutcome.Broken("the service closed the connection")
             finished = true
             val (status, body) = answer
--- /dev/null
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
@@ -0,0 +1,66 @@
+package org.vanilladale.systemtests
+
+import io.vertx.core.Vertx
+import java.util.concurrent.Executor
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.vanilladale.agent.PlainServiceCaller
+import org.vanilladale.agent.TargetOutcome
+import org.vanilladale.schema.Attempt
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.RequestId
+import org.vanilladale.schema.RequestKey
+import org.vanilladale.schema.RequestKind
+import org.vanilladale.schema.Submit
+import org.vanilladale.schema.WorkspaceId
+import org.vanilladale.standins.PlainService
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+
+/** Guards against a lost answer of a plain service when the calling coroutine resumes late. */
+class PlainServiceCallerTest {
+    private val vertx = Vertx.vertx()
+    private val scheduler = Executors.newSingleThreadScheduledExecutor()
+
+    @AfterEach
+    fun stop() {
+        vertx.close()
+        scheduler.shutdownNow()
+    }
+
+    private fun submit(key: String) = Submit(
+        request = RequestId(1),
+        attempt = Attempt(1),
+        workspace = WorkspaceId.parse("workspace-1"),
+        key = RequestKey.parse(key),
+        kind = RequestKind.parse("stock"),
+        path = "/stock",
+        idempotent = true,
+        priority = 5,
+        deadline = Deadline.fromEpochMilliseconds(Long.MAX_VALUE),
+        offset = 0,
+        body = ByteArray(0),
+    )
+
+    @Test
+    fun `the answer is whole although the coroutine resumes after it has arrived`() {
+        val port = PlainService(vertx, "stock").start(0).actualPort()
+        val call = PlainServiceCaller(vertx, "http://127.0.0.1:$port", 2).caller
+        // Each resumption waits longer than the service takes to answer.
+        val late = Executor { task -> scheduler.schedule(task, 50, TimeUnit.MILLISECONDS) }
+        repeat(5) { index ->
+            var text = ""
+            val outcome = runBlocking(late.asCoroutineDispatcher()) {
+                withTimeoutOrNull(5_000) { call(submit("key-$index")) { text += it } }
+            }
+            expectThat(outcome).isEqualTo(TargetOutcome.Completed)
+            expectThat(text).contains("workspace-1/key-$index")
+        }
+    }
+}
