Add the caller of the command line

Cause: demo and README need a caller that follows the whole protocol, without curl. Ruled out: a shell script with curl; it could neither check digests nor resume.

--- a/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
@@ -4,12 +4,14 @@
 import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import org.vanilladale.bench.call.CallCommand
 import org.vanilladale.bench.path.PathCommand
 import org.vanilladale.bench.placement.PlacementCommand
 import org.vanilladale.bench.placement.PlacementCostCommand
 import org.vanilladale.bench.routing.RoutingCommand
 
 private fun commands(): List<CliktCommand> = listOf(
+    CallCommand(),
     PathCommand(),
     PlacementCommand(),
     PlacementCostCommand(),
