Add commands that show counters and publish tables

Cause: the operator's first hour needs counters and a change of a table without other programs. Ruled out: curl, which is not on each VM. Change: vanilladale-operator metrics prints the counters that are not zero; vanilladale-stand-ins publish sends both tables to the stand-in of the configuration service.

--- a/operator/src/main/kotlin/org/vanilladale/operator/Main.kt
+++ b/operator/src/main/kotlin/org/vanilladale/operator/Main.kt
@@ -19,6 +19,12 @@
 /** Runs the operator's command line; see `--help`. */
 public fun main(arguments: Array<String>) {
     OperatorCommand()
-        .subcommands(CheckCommand(), CheckSettingsCommand(), ExplainCommand(), StatusCommand())
+        .subcommands(
+            CheckCommand(),
+            CheckSettingsCommand(),
+            ExplainCommand(),
+            MetricsCommand(),
+            StatusCommand(),
+        )
         .main(arguments)
 }
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Main.kt
@@ -13,6 +13,7 @@
     StandInsCommand()
         .subcommands(
             ConfigurationServiceCommand(),
+            PublishCommand(),
             VmListCommand(),
             EngineCommand(),
             PlainServiceCommand(),
