Run non-idempotent requests at most once in entry and agent

Cause: the ledger and the bindings existed in core only; the programs sent non-idempotent requests like any other, so a repeat after a lost answer could run again. Ruled out: waiting on the shared connection for a silent target (half of the deadline is kept for a new connection); taking "not run" from the entry's own refusals (a copy may have run). Change: POST /v1/bindings; BoundRequestRunner and BoundCalls at the entry; BoundRunner with the ledger at the agent, whose gate is asked between connect and send. A refusal of the entry says "no" only after CancelResult CANCELLED. PeerConnection closes its socket when the caller of run is cancelled. Found: PlainServiceCaller asked for the body after the coroutine had moved to another thread and then could wait for ever.

--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
 import org.tinylog.kotlin.Logger
 import org.vanilladale.runtime.OperatorEndpoint
 import org.vanilladale.runtime.PlannedStop
@@ -45,14 +46,23 @@
         ::systemNow,
     )
     private val slots = SlotQueue(settings.slots, settings.queue, ::systemNow)
-    private val runner = AttemptRunner(targetCaller(), slots, ::systemNow)
+    private val caller = targetCaller()
+    private val runner = AttemptRunner(caller, slots, ::systemNow)
+    private val bound: BoundRunner = BoundRunner(
+        scope,
+        boundLedger(incarnation, settings.longestBindingMilliseconds),
+        caller,
+        slots,
+        { plannedStop.refusesNewWork() },
+        ::systemNow,
+    )
     private val nextSession = AtomicLong()
     private val sessions = ConcurrentHashMap.newKeySet<EntrySession>()
-    private val plannedStop = PlannedStop(
+    private val plannedStop: PlannedStop = PlannedStop(
         settings.vm,
         settings.drainMilliseconds,
         ::systemNow,
-        { sessions.sumOf { it.inFlight } },
+        { sessions.sumOf { it.inFlight } + bound.inFlight },
         { leaving -> sessions.forEach { it.send(leaving) } },
     )
 
@@ -61,6 +71,7 @@
         val pages = mapOf("/v1/status" to { _: Map<String, String> -> statusText() })
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
+        scope.launch { bound.forgetExpiredForever() }
         network.listen(scope, settings.peerAddress, ::serve)
         Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
     }
@@ -84,6 +95,7 @@
             nextSession.getAndIncrement(),
             connection,
             runner,
+            bound,
             plannedStop::refusesNewWork,
         )
         sessions += session
--- a/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
@@ -38,7 +38,7 @@
         val digest = MessageDigest.getInstance("SHA-256")
         digest.update(submit.delivered.toByteArray())
         var position = submit.delivered.length.toLong()
-        val outcome = caller(submit) { text ->
+        val outcome = caller(submit, { null }) { text ->
             digest.update(text.toByteArray())
             val start = position
             position += text.length
@@ -64,6 +64,8 @@
 
         is TargetOutcome.Broken -> Refusal(RefusalReason.TARGET_FAILED, detail = outcome.detail)
 
+        is TargetOutcome.Withheld -> outcome.refusal
+
         is TargetOutcome.Unreachable ->
             Refusal(RefusalReason.TARGET_FAILED, RunState.NO, outcome.detail)
     }
--- a/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.Binding
 import org.vanilladale.schema.Cancel
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.Refused
@@ -18,6 +19,7 @@
     private val number: Long,
     private val connection: PeerConnection,
     private val runner: AttemptRunner,
+    private val bound: BoundRunner,
     private val refusesNewWork: () -> Boolean,
 ) {
     private val attempts = ConcurrentHashMap<AttemptId, Job>()
@@ -33,12 +35,19 @@
     /** Handles one frame; returns false for a type that this session does not know. */
     fun onFrame(frame: Frame): Boolean = when (frame) {
         is Submit -> {
-            if (refusesNewWork()) refuseLeaving(frame) else start(frame)
+            val binding = frame.binding
+            when {
+                binding != null -> startBound(frame, binding)
+                !frame.idempotent -> refuse(frame, RefusalReason.BINDING_REQUIRED)
+                refusesNewWork() -> refuse(frame, RefusalReason.LEAVING)
+                else -> start(frame)
+            }
             true
         }
 
         is Cancel -> {
             attempts[AttemptId(number, frame.request, frame.attempt)]?.cancel()
+            bound.cancel(frame)?.let(::send)
             true
         }
 
@@ -51,11 +60,16 @@
     }
 
     /** The agent decides itself, because an entry may not have heard that it leaves. */
-    private fun refuseLeaving(submit: Submit) {
-        val reason = RefusalReason.LEAVING
+    private fun refuse(submit: Submit, reason: RefusalReason) {
         send(Refused(submit.request, submit.attempt, reason.code, reason.run))
     }
 
+    /** The end of the connection or of the caller does not end a bound request. */
+    private fun startBound(submit: Submit, binding: Binding) {
+        val id = AttemptId(number, submit.request, submit.attempt)
+        scope.launch { bound.run(id, submit, binding) { connection.send(it) } }
+    }
+
     private fun start(submit: Submit) {
         val id = AttemptId(number, submit.request, submit.attempt)
         val job = scope.launch(start = CoroutineStart.LAZY) {
--- a/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
@@ -32,7 +32,11 @@
         class Broken(val detail: String) : Line
     }
 
-    private suspend fun call(submit: Submit, onText: suspend (String) -> Unit): TargetOutcome {
+    private suspend fun call(
+        submit: Submit,
+        gate: DispatchGate,
+        onText: suspend (String) -> Unit,
+    ): TargetOutcome {
         val options = RequestOptions()
             .setMethod(HttpMethod.POST)
             .setAbsoluteURI("$engineUrl/v1/generate")
@@ -42,6 +46,7 @@
         var finished = false
         try {
             receiveInto(request, lines)
+            gate()?.let { return TargetOutcome.Withheld(it) }
             request.end(requestBody(submit))
             val outcome = passOn(lines, onText)
             finished = outcome is TargetOutcome.Completed
--- a/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
@@ -17,7 +17,11 @@
     /** The function that the agent calls. */
     public val caller: TargetCaller = ::call
 
-    private suspend fun call(submit: Submit, onText: suspend (String) -> Unit): TargetOutcome {
+    private suspend fun call(
+        submit: Submit,
+        gate: DispatchGate,
+        onText: suspend (String) -> Unit,
+    ): TargetOutcome {
         val options = RequestOptions()
             .setMethod(HttpMethod.POST)
             .setAbsoluteURI(serviceUrl + submit.path)
@@ -27,9 +31,13 @@
             ?: return TargetOutcome.Unreachable("no connection to the service at $serviceUrl")
         var finished = false
         try {
+            gate()?.let { return TargetOutcome.Withheld(it) }
             val answer = runCatchingIo {
-                val response = request.send(Buffer.buffer(submit.body)).coAwait()
-                response.statusCode() to response.body().coAwait()
+                // The body is asked for on the event loop: a coroutine that resumes on another
+                // thread can miss its end and wait for ever.
+                request.send(Buffer.buffer(submit.body))
+                    .compose { response -> response.body().map { response.statusCode() to it } }
+                    .coAwait()
             } ?: return TargetOutcome.Broken("the service closed the connection")
             finished = true
             val (status, body) = answer
--- a/agent/src/main/kotlin/org/vanilladale/agent/TargetOutcome.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/TargetOutcome.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.agent
 
+import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
 
 /** How a call to the target ended. */
@@ -13,6 +14,9 @@
     /** The connection broke while the call ran; the target may have crashed. */
     public data class Broken(val detail: String) : TargetOutcome
 
+    /** The gate held the call back; the target has not seen it. */
+    public data class Withheld(val refusal: Refusal) : TargetOutcome
+
     /** The target can't be reached and has not seen the call. */
     public data class Unreachable(val detail: String) : TargetOutcome
 }
--- a/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
@@ -132,6 +132,7 @@
         kind = plan.request.head.kind,
         path = plan.route.path,
         idempotent = plan.route.idempotent,
+        isolated = plan.isolated,
         priority = plan.route.priority,
         deadline = plan.deadline,
         offset = start.offset,
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/BoundCall.kt
@@ -0,0 +1,141 @@
+package org.vanilladale.entry
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.core.stream.AnswerAssembler
+import org.vanilladale.core.stream.AssemblyStep
+import org.vanilladale.core.stream.AttemptStart
+import org.vanilladale.schema.Answer
+import org.vanilladale.schema.AnswerEnd
+import org.vanilladale.schema.AnswerLine
+import org.vanilladale.schema.Attempt
+import org.vanilladale.schema.Cancel
+import org.vanilladale.schema.CancelResult
+import org.vanilladale.schema.CancelState
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.Load
+import org.vanilladale.schema.Refused
+import org.vanilladale.schema.RequestId
+import org.vanilladale.schema.RunState
+import org.vanilladale.schema.Submit
+
+/** Sends a bound request, or its cancel, over one link. */
+internal class BoundCall(
+    private val order: BoundOrder,
+    private val request: RequestId,
+    private val link: AgentLink,
+    private val onLoad: (Load) -> Unit,
+) {
+    /** Submits the request and delivers the answer; gives up after [milliseconds]. */
+    suspend fun submit(
+        assembler: AnswerAssembler,
+        milliseconds: Long,
+        sink: AnswerSink,
+    ): BoundCallResult {
+        val start = assembler.startAttempt()
+        val ended = exchange(submit(start), milliseconds) { frame ->
+            onFrame(frame, assembler, sink)
+        }
+        return ended ?: BoundCallResult.Lost
+    }
+
+    /** Cancels the request; null without an answer of its incarnation in [milliseconds]. */
+    suspend fun cancel(milliseconds: Long): CancelState? {
+        val head = order.plan.request.head
+        val cancel = Cancel(request, Attempt(1), head.workspace, head.key, order.binding)
+        if (isOtherIncarnation()) return null
+        return exchange(cancel, milliseconds) { (it as? CancelResult)?.state }
+    }
+
+    /** Returns true when the link leads to an agent that doesn't hold the order's ledger. */
+    fun isOtherIncarnation(): Boolean {
+        val connected = link.connection?.remote?.incarnation
+        return connected != null && connected != order.binding.incarnation
+    }
+
+    private suspend fun <R : Any> exchange(
+        frame: Frame,
+        milliseconds: Long,
+        onFrame: suspend (Frame) -> R?,
+    ): R? {
+        val events = link.open(request)
+        try {
+            return withTimeoutOrNull(milliseconds) {
+                if (events.connection?.send(frame) != true) return@withTimeoutOrNull null
+                var result: R? = null
+                while (result == null) {
+                    val event = events.receiveOrNull() as? AttemptEvent.Received ?: break
+                    result = onFrame(event.frame)
+                }
+                result
+            }
+        } finally {
+            link.close(request, events)
+        }
+    }
+
+    private suspend fun onFrame(
+        frame: Frame,
+        assembler: AnswerAssembler,
+        sink: AnswerSink,
+    ): BoundCallResult? = when (frame) {
+        is Answer -> onStep(assembler.take(frame), sink)
+
+        is AnswerEnd -> {
+            frame.load?.let(onLoad)
+            onStep(assembler.take(frame), sink)
+        }
+
+        is Refused -> {
+            frame.load?.let(onLoad)
+            val reason = RefusalReason.fromCodeOrNull(frame.reason) ?: RefusalReason.TARGET_FAILED
+            BoundCallResult.Refused(Refusal(reason, frame.run, retryAt = frame.retryAt))
+        }
+
+        else -> null
+    }
+
+    private suspend fun onStep(step: AssemblyStep, sink: AnswerSink): BoundCallResult? {
+        val target = order.place.target
+        when (step) {
+            is AssemblyStep.Deliver ->
+                if (step.text.isNotEmpty()) sink.write(AnswerLine(step.offset, step.text), target)
+
+            is AssemblyStep.Complete -> {
+                val digest = step.digest.text
+                sink.write(AnswerLine(end = true, length = step.length, digest = digest), target)
+                return BoundCallResult.Complete
+            }
+
+            is AssemblyStep.Dropped -> Unit
+
+            is AssemblyStep.Damaged -> return BoundCallResult.Refused(
+                Refusal(
+                    RefusalReason.ANSWER_INTERRUPTED,
+                    RunState.UNKNOWN,
+                    step.damage.remedy,
+                ),
+            )
+        }
+        return null
+    }
+
+    private fun submit(start: AttemptStart) = Submit(
+        request = request,
+        attempt = start.attempt,
+        workspace = order.plan.request.head.workspace,
+        key = order.plan.request.head.key,
+        kind = order.plan.request.head.kind,
+        path = order.plan.route.path,
+        idempotent = false,
+        isolated = order.plan.isolated,
+        priority = order.plan.route.priority,
+        deadline = order.plan.deadline,
+        offset = start.offset,
+        body = order.plan.request.body,
+        prefix = order.plan.request.head.prefix,
+        binding = order.binding,
+        contentType = order.plan.request.contentType,
+    )
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/BoundLinks.kt
@@ -0,0 +1,44 @@
+package org.vanilladale.entry
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.vanilladale.schema.PoolTarget
+
+/**
+ * Connections for bound requests.
+ *
+ * @param dial starts a link of its own to a target; the receiver stops it
+ */
+internal class BoundLinks(
+    private val links: AgentLinks,
+    private val dial: (PoolTarget) -> AgentLink,
+) {
+    /** Returns the link of this entry to [place] while it is connected. */
+    fun sharedOrNull(place: PoolTarget): AgentLink? =
+        links.linkOrNull(place.target)?.takeIf { it.connection != null }
+
+    /**
+     * Passes a link with a new connection to [block], or null when there is none within
+     * [milliseconds].
+     */
+    suspend fun <R> withNewLink(
+        place: PoolTarget,
+        milliseconds: Long,
+        block: suspend (AgentLink?) -> R,
+    ): R {
+        val link = dial(place)
+        try {
+            val connected = withTimeoutOrNull(milliseconds) {
+                while (link.connection == null) delay(POLL_MILLISECONDS)
+                link
+            }
+            return block(connected)
+        } finally {
+            link.stop()
+        }
+    }
+
+    private companion object {
+        const val POLL_MILLISECONDS = 5L
+    }
+}
--- a/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
@@ -1,5 +1,7 @@
 package org.vanilladale.entry
 
+import arrow.core.Either
+import arrow.core.flatMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServer
@@ -16,8 +18,10 @@
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.runCatchingIo
+import org.vanilladale.schema.BindingAnswer
 import org.vanilladale.schema.EntryList
 import org.vanilladale.schema.EntrySettings
+import org.vanilladale.schema.RunState
 
 /** HTTP endpoint for callers. */
 internal class CallerEndpoint(
@@ -26,6 +30,7 @@
     private val settings: EntrySettings,
     private val counters: SystemCounters,
     private val entryList: () -> EntryList,
+    private val bind: (CallerRequestHead) -> Either<Refusal, BindingAnswer>,
     private val run: suspend (CallerRequest, AnswerSink) -> Refusal?,
 ) {
     /** Listens on the caller address of the settings. */
@@ -35,6 +40,7 @@
             val body = Json.encodeToString(EntryList.serializer(), entryList())
             context.response().putHeader("content-type", "application/json").end(body)
         }
+        router.post("/v1/bindings").handler(::answerBinding)
         router.post("/v1/requests").handler(::receive)
         val address = settings.callerAddress
         val options = HttpServerOptions().setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
@@ -44,6 +50,16 @@
             .coAwait()
     }
 
+    private fun answerBinding(context: RoutingContext) {
+        CallerRequestHead.fromHeaders(context.request().headers()).flatMap(bind).fold(
+            { refuse(context, it) },
+            { answer ->
+                val body = Json.encodeToString(BindingAnswer.serializer(), answer)
+                context.response().putHeader("content-type", "application/json").end(body)
+            },
+        )
+    }
+
     private fun receive(context: RoutingContext) {
         CallerRequestHead.fromHeaders(context.request().headers()).fold(
             { refuse(context, it) },
@@ -100,7 +116,10 @@
         sink.refuse(refusal)
     }
 
-    private fun refuse(context: RoutingContext, refusal: Refusal) {
+    private fun refuse(context: RoutingContext, found: Refusal) {
+        // An earlier copy of a request with a binding may have run.
+        val bound = context.request().headers().contains("vanilladale-binding")
+        val refusal = if (bound) found.copy(run = RunState.UNKNOWN) else found
         counters.refused(refusal.reason)
         context.response().putHeader("connection", "close")
         scope.launch { runCatchingIo { HttpAnswerSink(context.response()).refuse(refusal) } }
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -1,5 +1,7 @@
 package org.vanilladale.entry
 
+import arrow.core.Either
+import arrow.core.left
 import arrow.core.raise.either
 import io.vertx.core.Vertx
 import kotlin.random.Random
@@ -22,6 +24,7 @@
 import org.vanilladale.runtime.PlatformReader
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
+import org.vanilladale.schema.BindingAnswer
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.EntryAddress
 import org.vanilladale.schema.EntryList
@@ -78,6 +81,22 @@
         ::systemNow,
     )
 
+    private val bindings = BindingIssuer(configuration, fleet, router, ::systemNow) { target ->
+        links.linkOrNull(target)?.connection != null
+    }
+    private val bound = BoundRequestRunner(
+        configuration,
+        runner,
+        BoundCalls(
+            BoundLinks(links) { target -> createLink(target).also { it.start(scope) } },
+            counters,
+            settings.firstAnswerMilliseconds,
+            ::systemNow,
+            runner::newRequest,
+        ) { pool, target, load -> router.reported(pool, target, load) },
+        ::systemNow,
+    )
+
     private val plannedStop = PlannedStop(
         settings.vm,
         settings.drainMilliseconds,
@@ -91,7 +110,7 @@
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
         scope.launch { while (isActive) followConfiguration() }
-        CallerEndpoint(vertx, scope, settings, counters, ::entryList, ::serve).start()
+        CallerEndpoint(vertx, scope, settings, counters, ::entryList, ::bind, ::serve).start()
         Logger.info { "entry: ${settings.vm} listens on ${settings.callerAddress}" }
     }
 
@@ -108,11 +127,17 @@
         vertx.close()
     }
 
-    private suspend fun serve(request: CallerRequest, sink: AnswerSink): Refusal? =
+    private suspend fun serve(request: CallerRequest, sink: AnswerSink): Refusal? = when {
+        bound.takes(request.head) -> bound.run(request, sink, plannedStop.refusesNewWork())
+        plannedStop.refusesNewWork() -> Refusal(RefusalReason.LEAVING)
+        else -> runner.run(request, sink)
+    }
+
+    private fun bind(head: CallerRequestHead): Either<Refusal, BindingAnswer> =
         if (plannedStop.refusesNewWork()) {
-            Refusal(RefusalReason.LEAVING)
+            Refusal(RefusalReason.LEAVING).left()
         } else {
-            runner.run(request, sink)
+            bindings.issue(head)
         }
 
     private suspend fun followConfiguration() {
--- a/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
@@ -41,16 +41,27 @@
     /** Runs [request] and writes its answer to [sink]; returns the refusal if there is none. */
     suspend fun run(request: CallerRequest, sink: AnswerSink): Refusal? = either {
         val plan = plan(request).bind()
+        counted(plan) { serve(plan, sink) }.bind()
+    }.leftOrNull()
+
+    /** Returns the id of a new request of this entry. */
+    fun newRequest(): RequestId = RequestId(nextRequest.getAndIncrement())
+
+    /** Runs [block] under the limit of the workspace. */
+    suspend fun counted(
+        plan: RequestPlan,
+        block: suspend () -> Either<Refusal, Unit>,
+    ): Either<Refusal, Unit> = either {
         admit(plan).bind()
         try {
-            serve(plan, sink).bind()
+            block().bind()
         } finally {
             synchronized(workspaceLimit) {
-                workspaceLimit.ended(request.head.workspace, plan.route.name)
+                workspaceLimit.ended(plan.request.head.workspace, plan.route.name)
             }
         }
         counters.answered(plan.route.kind.text)
-    }.leftOrNull()
+    }
 
     /** Finds route, pool and deadline of [request]. */
     fun plan(request: CallerRequest): Either<Refusal, RequestPlan> = either {
@@ -74,7 +85,7 @@
     }
 
     private suspend fun serve(plan: RequestPlan, sink: AnswerSink): Either<Refusal, Unit> {
-        val request = RequestId(nextRequest.getAndIncrement())
+        val request = newRequest()
         val first = router.chooseFirst(plan).getOrElse { return it.left() }
         return if (plan.pool.type == PoolType.SERVICE && plan.route.hedgeBudgetPercent > 0) {
             hedgedLookup.run(plan, first, sink) { call(plan, request, it) }
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -12,6 +12,7 @@
 import org.vanilladale.core.retry.Retry
 import org.vanilladale.core.retry.RetryDecision
 import org.vanilladale.core.routing.ChoiceRequest
+import org.vanilladale.core.routing.TargetState
 import org.vanilladale.core.shard.Sharded
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Load
@@ -104,6 +105,12 @@
         }
     }
 
+    /** Returns those of [targets] that may get new work. */
+    fun usable(pool: PoolName, targets: List<TargetId>): List<TargetId> = withPool(pool) {
+        val now = clock()
+        targets.filter { view.stateOf(it, now) != TargetState.UNAVAILABLE }
+    }
+
     /** Describes the state of each of [targets] for operators. */
     fun describe(pool: PoolName, targets: List<TargetId>): Map<TargetId, String> = withPool(pool) {
         val now = clock()
--- a/transport/src/main/kotlin/org/vanilladale/transport/PeerConnection.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/PeerConnection.kt
@@ -70,6 +70,17 @@
     public suspend fun run(
         heartbeat: () -> Heartbeat,
         onFrame: suspend (Frame) -> Unit,
+    ): CloseReason = try {
+        runUntilClosed(heartbeat, onFrame)
+    } finally {
+        // A cancelled caller must not leave the socket open.
+        finish(CloseReason.LOCAL)
+        closeSocket()
+    }
+
+    private suspend fun runUntilClosed(
+        heartbeat: () -> Heartbeat,
+        onFrame: suspend (Frame) -> Unit,
     ): CloseReason = coroutineScope {
         val writing = launch { writeFrames() }
         val watching = launch { watch(heartbeat) }
@@ -79,7 +90,6 @@
         reading.cancel()
         // Frames that were queued before a local close, such as a last refusal, are still written.
         if (reason == CloseReason.LOCAL) writing.join() else writing.cancel()
-        closeSocket()
         reason
     }
 
