Run crash suspects alone and refuse convicted requests

Cause: a request that crashes the target that runs it was retried at the next one. Ruled out: a lost connection as the sign of a crash (a service may drop one answer and run on); reporting only to the entry that sent the request (a caller repeats through another one). Change: the agent records its calls in flight, takes a refused health check after a broken call as a crash, reports the suspects on all connections before it answers the attempts, and is unhealthy until the target answers. Entries merge and pass on reports, decide before each attempt, and run a suspect alone at one target. Reports reach other entries through the agents; sendToAllPeers is the place for connections between entries.

--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -15,6 +15,7 @@
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
 import org.vanilladale.schema.AgentSettings
+import org.vanilladale.schema.CrashReport
 import org.vanilladale.schema.Heartbeat
 import org.vanilladale.schema.Incarnation
 import org.vanilladale.schema.PoolType
@@ -46,7 +47,15 @@
         ::systemNow,
     )
     private val slots = SlotQueue(settings.slots, settings.queue, ::systemNow)
-    private val caller = targetCaller()
+    private val crashes = TargetCrashes(
+        scope,
+        settings.target,
+        incarnation,
+        ::systemNow,
+        TargetHealth(vertx, settings.targetUrl)::acceptsConnections,
+        ::onHealth,
+    ) { report -> sessions.forEach { it.send(report) } }
+    private val caller = crashes.watching(targetCaller())
     private val runner = AttemptRunner(caller, slots, ::systemNow)
     private val bound: BoundRunner = BoundRunner(
         scope,
@@ -72,6 +81,7 @@
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
         scope.launch { bound.forgetExpiredForever() }
+        scope.launch { crashes.forgetExpiredForever() }
         network.listen(scope, settings.peerAddress, ::serve)
         Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
     }
@@ -99,15 +109,25 @@
             plannedStop::refusesNewWork,
         )
         sessions += session
+        crashes.reports.forEach { session.send(it) }
         plannedStop.leavingOrNull?.let { session.send(it) }
         val reason = connection.run({ Heartbeat(systemNow(), load = slots.load()) }) { frame ->
-            if (!session.onFrame(frame)) counters.event("frame-unexpected")
+            when {
+                frame is CrashReport -> crashes.onCrashReport(frame)
+                !session.onFrame(frame) -> counters.event("frame-unexpected")
+            }
         }
         sessions -= session
         session.end()
         counters.event("connection-${reason.code}")
     }
 
+    /** Entries learn at once that the target takes no work, not with the next heartbeat. */
+    private fun onHealth(isHealthy: Boolean) {
+        slots.setHealthy(isHealthy)
+        sessions.forEach { it.send(Heartbeat(systemNow(), load = slots.load())) }
+    }
+
     private fun targetCaller(): TargetCaller = when (settings.targetType) {
         PoolType.MODEL -> ModelEngineCaller(vertx, settings.targetUrl, settings.slots).caller
         PoolType.SERVICE -> PlainServiceCaller(vertx, settings.targetUrl, settings.slots).caller
--- a/entry/src/main/kotlin/org/vanilladale/entry/BoundRequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/BoundRequestRunner.kt
@@ -6,6 +6,7 @@
 import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import arrow.core.right
+import org.vanilladale.core.crash.SuspectDecision
 import org.vanilladale.core.once.BindingCodec
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
@@ -21,6 +22,7 @@
     private val configuration: ConfigurationHolder,
     private val runner: RequestRunner,
     private val calls: BoundCalls,
+    private val suspects: CrashSuspects,
     private val clock: () -> Timestamp,
 ) {
     /** Returns true when a request with [head] may run only once. */
@@ -32,16 +34,25 @@
     /** Runs [request] and writes its answer to [sink]; returns the refusal if there is none. */
     suspend fun run(request: CallerRequest, sink: AnswerSink, isLeaving: Boolean): Refusal? =
         either {
-            val order = order(request).bind()
-            entryRefusalOrNull(order, isLeaving)?.let { raise(calls.cancelled(order, it)) }
+            val asked = order(request).bind()
+            val decision = suspects.decide(asked.plan, listOf(asked.place.target))
+            val isolated = decision is SuspectDecision.RunIsolated
+            val order = asked.copy(plan = asked.plan.copy(isolated = isolated))
+            entryRefusalOrNull(order, decision, isLeaving)
+                ?.let { raise(calls.cancelled(order, it)) }
             var sent = false
             runner.counted(order.plan) {
                 sent = true
-                calls.run(order, sink)?.left() ?: Unit.right()
+                calls.run(order, sink)?.left() ?: suspects.completed(order.plan).right()
             }.mapLeft { if (sent) it else calls.cancelled(order, it) }.bind()
         }.leftOrNull()
 
-    private fun entryRefusalOrNull(order: BoundOrder, isLeaving: Boolean): Refusal? = when {
+    private fun entryRefusalOrNull(
+        order: BoundOrder,
+        decision: SuspectDecision,
+        isLeaving: Boolean,
+    ): Refusal? = when {
+        decision is SuspectDecision.Refuse -> decision.refusal
         isLeaving -> Refusal(RefusalReason.LEAVING)
         order.plan.deadline.hasPassed(clock()) -> Refusal(RefusalReason.DEADLINE_TOO_SHORT)
         else -> null
--- /dev/null
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CrashSuspects.kt
@@ -0,0 +1,112 @@
+package org.vanilladale.entry
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.delay
+import org.tinylog.kotlin.Logger
+import org.vanilladale.core.crash.RequestFingerprints
+import org.vanilladale.core.crash.SuspectBook
+import org.vanilladale.core.crash.SuspectDecision
+import org.vanilladale.core.crash.SuspectLimits
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.schema.CrashReport
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.transport.PeerConnection
+
+/**
+ * Requests that were in flight when targets crashed, as this entry knows them.
+ *
+ * @param live targets of a pool that may get new work
+ * @param sendToAllAgents sends a report on the connections to all agents
+ * @param sendToAllPeers sends a report on the connections to all other entries
+ */
+internal class CrashSuspects(
+    private val clock: () -> Timestamp,
+    private val live: (PoolName) -> List<TargetId>,
+    private val sendToAllAgents: (CrashReport) -> Unit,
+    private val sendToAllPeers: (CrashReport) -> Unit,
+) {
+    private val book = SuspectBook(SuspectLimits())
+
+    /** Takes a report of an agent or entry and sends on what was new. */
+    fun onCrashReport(frame: CrashReport) {
+        book.merge(frame, clock())?.let(::sendToAll)
+    }
+
+    /** Sends all that is known over a new connection. */
+    fun onConnected(connection: PeerConnection) {
+        book.reports(clock()).forEach { connection.trySend(it) }
+    }
+
+    /** Decides how the request of [plan] runs. */
+    fun decide(
+        plan: RequestPlan,
+        targets: Collection<TargetId> = live(plan.pool.name),
+    ): SuspectDecision = book.decide(fingerprintsOf(plan), targets, clock())
+
+    /** Chooses the target of the first attempt; a suspect gets the target where it runs alone. */
+    fun chooseFirst(
+        plan: RequestPlan,
+        router: TargetRouter,
+    ): Either<Refusal, Pair<RequestPlan, TargetId>> = when (val decision = decide(plan)) {
+        SuspectDecision.Run -> router.chooseFirst(plan).map { plan to it }
+
+        is SuspectDecision.RunIsolated -> {
+            router.started(plan.pool.name, decision.target)
+            (plan.copy(isolated = true) to decision.target).right()
+        }
+
+        is SuspectDecision.Refuse -> decision.refusal.left()
+    }
+
+    /** Decides once more about a retry that [router] allowed to go to [target]. */
+    fun chooseRetry(
+        plan: RequestPlan,
+        target: TargetId,
+        router: TargetRouter,
+    ): Either<Refusal, Pair<RequestPlan, TargetId>> {
+        val decision = decide(plan)
+        if (decision == SuspectDecision.Run) return (plan.copy(isolated = false) to target).right()
+        router.finished(plan.pool.name, target)
+        return chooseFirst(plan, router)
+    }
+
+    /** Clears the suspicion after the isolated request of [plan] completed. */
+    fun completed(plan: RequestPlan) {
+        if (!plan.isolated) return
+        Logger.info {
+            "entry: ${plan.request.head.workspace}/${plan.request.head.key} ran alone, cleared"
+        }
+        book.clear(fingerprintsOf(plan), clock())?.let(::sendToAll)
+    }
+
+    /** Removes expired suspects until the coroutine is cancelled. */
+    suspend fun forgetExpiredForever() {
+        while (true) {
+            delay(FORGET_MILLISECONDS)
+            book.forgetExpired(clock())
+        }
+    }
+
+    private fun sendToAll(report: CrashReport) {
+        sendToAllAgents(report)
+        sendToAllPeers(report)
+    }
+
+    private fun fingerprintsOf(plan: RequestPlan): RequestFingerprints {
+        val head = plan.request.head
+        return RequestFingerprints.fromRequest(
+            head.workspace,
+            head.kind,
+            head.key,
+            plan.request.body,
+        )
+    }
+
+    private companion object {
+        const val FORGET_MILLISECONDS = 10_000L
+    }
+}
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -25,6 +25,7 @@
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
 import org.vanilladale.schema.BindingAnswer
+import org.vanilladale.schema.CrashReport
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.EntryAddress
 import org.vanilladale.schema.EntryList
@@ -68,22 +69,27 @@
     )
     private val fleet = TargetFleet(settings)
     private val router = TargetRouter(::systemNow, Random.Default) { pool ->
-        fleet.targetsOf(pool).filter { links.linkOrNull(it)?.connection != null }
+        fleet.targetsOf(pool).filter(::isConnected)
     }
     private val links: AgentLinks = AgentLinks(scope, ::createLink)
+    private val suspects = CrashSuspects(
+        ::systemNow,
+        { pool -> router.usable(pool, fleet.targetsOf(pool).filter(::isConnected)) },
+        { report -> links.all.forEach { it.connection?.trySend(report) } },
+        ::sendToAllPeers,
+    )
     private val runner = RequestRunner(
         configuration,
         links,
         router,
+        suspects,
         counters,
         AttemptTiming(settings.firstAnswerMilliseconds, settings.progressMilliseconds),
         settings.capacity,
         ::systemNow,
     )
 
-    private val bindings = BindingIssuer(configuration, fleet, router, ::systemNow) { target ->
-        links.linkOrNull(target)?.connection != null
-    }
+    private val bindings = BindingIssuer(configuration, fleet, router, ::systemNow, ::isConnected)
     private val bound = BoundRequestRunner(
         configuration,
         runner,
@@ -94,6 +100,7 @@
             ::systemNow,
             runner::newRequest,
         ) { pool, target, load -> router.reported(pool, target, load) },
+        suspects,
         ::systemNow,
     )
 
@@ -110,6 +117,7 @@
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
         scope.launch { while (isActive) followConfiguration() }
+        scope.launch { suspects.forgetExpiredForever() }
         CallerEndpoint(vertx, scope, settings, counters, ::entryList, ::bind, ::serve).start()
         Logger.info { "entry: ${settings.vm} listens on ${settings.callerAddress}" }
     }
@@ -173,6 +181,7 @@
 
     private fun onConnected(target: TargetId, connection: PeerConnection?) {
         if (connection == null) return
+        suspects.onConnected(connection)
         val restarted = fleet.sawIncarnation(target, connection.remote.incarnation)
         if (restarted) fleet.poolsOf(target).forEach { router.forget(it, target) }
     }
@@ -188,10 +197,23 @@
                 fleet.poolsOf(target).forEach { router.markLeaving(it, target, leavingAt) }
             }
 
+            is CrashReport -> onCrashReport(frame)
+
             else -> counters.event("frame-unexpected")
         }
     }
 
+    private fun isConnected(target: TargetId) = links.linkOrNull(target)?.connection != null
+
+    /** Takes a report of an agent or of another entry. */
+    private fun onCrashReport(frame: CrashReport) {
+        suspects.onCrashReport(frame)
+    }
+
+    /** Sends [report] to all other entries; agents relay it while entries hold no connections. */
+    @Suppress("UnusedParameter")
+    private fun sendToAllPeers(report: CrashReport) = Unit
+
     private fun entryList() = EntryList(
         listOf(EntryAddress(settings.callerAddress, settings.dataCentre)),
         systemNow().deadlineAfter(settings.keepEntriesMilliseconds),
--- a/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
@@ -26,6 +26,7 @@
     private val configuration: ConfigurationHolder,
     private val links: AgentLinks,
     private val router: TargetRouter,
+    private val suspects: CrashSuspects,
     private val counters: SystemCounters,
     private val timing: AttemptTiming,
     capacity: Int,
@@ -84,10 +85,11 @@
         workspaceLimit.admit(workspace, route.name, route.maximumInFlightPerWorkspace)
     }
 
-    private suspend fun serve(plan: RequestPlan, sink: AnswerSink): Either<Refusal, Unit> {
+    private suspend fun serve(asked: RequestPlan, sink: AnswerSink): Either<Refusal, Unit> {
         val request = newRequest()
-        val first = router.chooseFirst(plan).getOrElse { return it.left() }
-        return if (plan.pool.type == PoolType.SERVICE && plan.route.hedgeBudgetPercent > 0) {
+        val (plan, first) = suspects.chooseFirst(asked, router).getOrElse { return it.left() }
+        val hedged = plan.route.hedgeBudgetPercent > 0 && !plan.isolated
+        return if (plan.pool.type == PoolType.SERVICE && hedged) {
             hedgedLookup.run(plan, first, sink) { call(plan, request, it) }
         } else {
             attemptUntilDone(plan, request, first, sink)
@@ -95,24 +97,28 @@
     }
 
     private suspend fun attemptUntilDone(
-        plan: RequestPlan,
+        asked: RequestPlan,
         request: RequestId,
         first: TargetId,
         sink: AnswerSink,
     ): Either<Refusal, Unit> {
+        var plan = asked
         val assembler = AnswerAssembler(request, plan.request.head.offset)
         val tried = mutableSetOf(first)
         var target = first
         while (true) {
             val failure = when (val result = attempt(plan, request, target, assembler, sink)) {
-                AttemptResult.Complete -> return Unit.right()
+                AttemptResult.Complete -> return suspects.completed(plan).right()
                 is AttemptResult.Failed -> result.failure
             }
             val retry = router.decideRetry(plan, failure, tried)
                 .getOrElse { return interrupted(it, sink).left() }
             counters.retried(retry.reason)
-            tried += retry.target
-            target = retry.target
+            val next = suspects.chooseRetry(plan, retry.target, router)
+                .getOrElse { return interrupted(it, sink).left() }
+            plan = next.first
+            target = next.second
+            tried += target
         }
     }
 
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -72,6 +72,11 @@
                 ?.also { view.started(it.target) }
         }
 
+    /** Counts an attempt at [target] that was not chosen here. */
+    fun started(pool: PoolName, target: TargetId) {
+        withPool(pool) { view.started(target) }
+    }
+
     /** Uncounts an attempt that ended in any way. */
     fun finished(pool: PoolName, target: TargetId) {
         withPool(pool) { view.finished(target) }
