--- a/core/src/main/kotlin/org/vanilladale/core/settings/SettingsRules.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/settings/SettingsRules.kt
@@ -51,7 +51,6 @@
         "heartbeatMilliseconds" to settings.heartbeatMilliseconds,
         "silenceMilliseconds" to settings.silenceMilliseconds,
         "drainMilliseconds" to settings.drainMilliseconds,
-        "capacity" to settings.capacity,
         "firstAnswerMilliseconds" to settings.firstAnswerMilliseconds,
         "progressMilliseconds" to settings.progressMilliseconds,
     )
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -1,5 +1,7 @@
 package org.vanilladale.entry
 
+import arrow.core.Either
+import arrow.core.left
 import arrow.core.raise.either
 import io.vertx.core.Vertx
 import kotlin.random.Random
@@ -22,7 +24,9 @@
 import org.vanilladale.runtime.PlatformReader
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
+import org.vanilladale.schema.BindingAnswer
 import org.vanilladale.schema.CacheEvents
+import org.vanilladale.schema.CrashReport
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.EntryAddress
 import org.vanilladale.schema.EntryList
@@ -66,19 +70,41 @@
     )
     private val fleet = TargetFleet(settings)
     private val router = TargetRouter(::systemNow, Random.Default) { pool ->
-        fleet.targetsOf(pool).filter { links.linkOrNull(it)?.connection != null }
+        fleet.targetsOf(pool).filter(::isConnected)
     }
     private val links: AgentLinks = AgentLinks(scope, ::createLink)
+    private val suspects = CrashSuspects(
+        ::systemNow,
+        { pool -> router.usable(pool, fleet.targetsOf(pool).filter(::isConnected)) },
+        { report -> links.all.forEach { it.connection?.trySend(report) } },
+        ::sendToAllPeers,
+    )
     private val runner = RequestRunner(
         configuration,
         links,
         router,
+        suspects,
         counters,
         AttemptTiming(settings.firstAnswerMilliseconds, settings.progressMilliseconds),
         fleet::capacity,
         ::systemNow,
     )
 
+    private val bindings = BindingIssuer(configuration, fleet, router, ::systemNow, ::isConnected)
+    private val bound = BoundRequestRunner(
+        configuration,
+        runner,
+        BoundCalls(
+            BoundLinks(links) { target -> createLink(target).also { it.start(scope) } },
+            counters,
+            settings.firstAnswerMilliseconds,
+            ::systemNow,
+            runner::newRequest,
+        ) { pool, target, load -> router.reported(pool, target, load) },
+        suspects,
+        ::systemNow,
+    )
+
     private val plannedStop = PlannedStop(
         settings.vm,
         settings.drainMilliseconds,
@@ -95,7 +121,8 @@
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
         scope.launch { while (isActive) followConfiguration() }
-        CallerEndpoint(vertx, scope, settings, counters, ::entryList, ::serve).start()
+        scope.launch { suspects.forgetExpiredForever() }
+        CallerEndpoint(vertx, scope, settings, counters, ::entryList, ::bind, ::serve).start()
         Logger.info { "entry: ${settings.vm} listens on ${settings.callerAddress}" }
     }
 
@@ -112,11 +139,17 @@
         vertx.close()
     }
 
-    private suspend fun serve(request: CallerRequest, sink: AnswerSink): Refusal? =
+    private suspend fun serve(request: CallerRequest, sink: AnswerSink): Refusal? = when {
+        bound.takes(request.head) -> bound.run(request, sink, plannedStop.refusesNewWork())
+        plannedStop.refusesNewWork() -> Refusal(RefusalReason.LEAVING)
+        else -> runner.run(request, sink)
+    }
+
+    private fun bind(head: CallerRequestHead): Either<Refusal, BindingAnswer> =
         if (plannedStop.refusesNewWork()) {
-            Refusal(RefusalReason.LEAVING)
+            Refusal(RefusalReason.LEAVING).left()
         } else {
-            runner.run(request, sink)
+            bindings.issue(head)
         }
 
     private suspend fun followConfiguration() {
@@ -152,6 +185,7 @@
 
     private fun onConnected(target: TargetId, connection: PeerConnection?) {
         if (connection == null) return
+        suspects.onConnected(connection)
         val restarted = fleet.sawIncarnation(target, connection.remote.incarnation)
         if (restarted) fleet.poolsOf(target).forEach { router.forget(it, target) }
     }
@@ -169,10 +203,23 @@
                 fleet.poolsOf(target).forEach { router.markLeaving(it, target, leavingAt) }
             }
 
+            is CrashReport -> onCrashReport(frame)
+
             else -> counters.event("frame-unexpected")
         }
     }
 
+    private fun isConnected(target: TargetId) = links.linkOrNull(target)?.connection != null
+
+    /** Takes a report of an agent or of another entry. */
+    private fun onCrashReport(frame: CrashReport) {
+        suspects.onCrashReport(frame)
+    }
+
+    /** Sends [report] to all other entries; agents relay it while entries hold no connections. */
+    @Suppress("UnusedParameter")
+    private fun sendToAllPeers(report: CrashReport) = Unit
+
     private fun entryList() = EntryList(
         listOf(EntryAddress(settings.callerAddress, settings.dataCentre)),
         systemNow().deadlineAfter(settings.keepEntriesMilliseconds),
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -12,6 +12,7 @@
 import org.vanilladale.core.retry.Retry
 import org.vanilladale.core.retry.RetryDecision
 import org.vanilladale.core.routing.ChoiceRequest
+import org.vanilladale.core.routing.TargetState
 import org.vanilladale.core.shard.Sharded
 import org.vanilladale.schema.CacheEvents
 import org.vanilladale.schema.Deadline
@@ -74,6 +75,11 @@
                 ?.also { view.started(it.target) }
         }
 
+    /** Counts an attempt at [target] that was not chosen here. */
+    fun started(pool: PoolName, target: TargetId) {
+        withPool(pool) { view.started(target) }
+    }
+
     /** Uncounts an attempt that ended in any way. */
     fun finished(pool: PoolName, target: TargetId) {
         withPool(pool) { view.finished(target) }
@@ -127,6 +133,12 @@
         }
     }
 
+    /** Returns those of [targets] that may get new work. */
+    fun usable(pool: PoolName, targets: List<TargetId>): List<TargetId> = withPool(pool) {
+        val now = clock()
+        targets.filter { view.stateOf(it, now) != TargetState.UNAVAILABLE }
+    }
+
     /** Describes [target] of [pool] for operators. */
     fun describe(pool: PoolName, target: PoolTarget): TargetReport = withPool(pool) {
         val now = clock()
