--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -9,11 +9,18 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
 import org.tinylog.kotlin.Logger
+import org.vanilladale.core.configuration.configurationStateSettings
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.runtime.ConfigurationHolder
+import org.vanilladale.runtime.ConfigurationSpread
 import org.vanilladale.runtime.OperatorEndpoint
 import org.vanilladale.runtime.PlannedStop
+import org.vanilladale.runtime.PlatformReader
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
+import org.vanilladale.schema.AgentReport
 import org.vanilladale.schema.AgentSettings
 import org.vanilladale.schema.CrashReport
 import org.vanilladale.schema.Heartbeat
@@ -46,6 +53,19 @@
         ConnectionTiming(settings.heartbeatMilliseconds, settings.silenceMilliseconds),
         ::systemNow,
     )
+    private val configuration = ConfigurationHolder()
+    private val spread = ConfigurationSpread(
+        scope,
+        configurationStateSettings(settings.vm, settings.dataCentre) {
+            storedBy = settings.storedBy
+            peersMilliseconds = settings.peersMilliseconds
+        },
+        PlatformReader(vertx, settings.configurationServiceUrl, settings.vmListUrl)::readTables,
+        configuration,
+        counters,
+        ::systemNow,
+        Random.Default,
+    ) {}
     private val slots = SlotQueue(settings.slots, settings.queue, ::systemNow)
     private val crashes = TargetCrashes(
         scope,
@@ -82,6 +102,7 @@
             .start(settings.operatorAddress)
         scope.launch { bound.forgetExpiredForever() }
         scope.launch { crashes.forgetExpiredForever() }
+        spread.start()
         network.listen(scope, settings.peerAddress, ::serve)
         if (settings.targetType == PoolType.MODEL) scope.launch { cacheEvents().run() }
         Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
@@ -107,17 +128,22 @@
             connection,
             runner,
             bound,
-            plannedStop::refusesNewWork,
+            ::refusesNewWork,
         )
         sessions += session
         crashes.reports.forEach { session.send(it) }
         plannedStop.leavingOrNull?.let { session.send(it) }
-        val reason = connection.run({ Heartbeat(systemNow(), load = slots.load()) }) { frame ->
+        spread.connected(connection)
+        val reason = connection.run(
+            { spread.heartbeat(connection, Heartbeat(systemNow(), load = slots.load())) },
+        ) { frame ->
             when {
+                spread.onFrame(connection, frame) || frame is Heartbeat -> Unit
                 frame is CrashReport -> crashes.onCrashReport(frame)
                 !session.onFrame(frame) -> counters.event("frame-unexpected")
             }
         }
+        spread.disconnected(connection)
         sessions -= session
         session.end()
         counters.event("connection-${reason.code}")
@@ -134,11 +160,29 @@
         sessions.forEach { it.send(Heartbeat(systemNow(), load = slots.load())) }
     }
 
+    private fun refusesNewWork(): Boolean = plannedStop.refusesNewWork().also { refuses ->
+        if (refuses) counters.refused(RefusalReason.LEAVING)
+    }
+
     private fun targetCaller(): TargetCaller = when (settings.targetType) {
         PoolType.MODEL -> ModelEngineCaller(vertx, settings.targetUrl, settings.slots).caller
         PoolType.SERVICE -> PlainServiceCaller(vertx, settings.targetUrl, settings.slots).caller
     }
 
-    private fun statusText(): String =
-        """{"vm":"${settings.vm}","target":"${settings.target}","incarnation":"$incarnation"}"""
+    private fun statusText(): String {
+        val peers = spread.peers
+        val report = AgentReport(
+            settings.vm,
+            settings.target,
+            settings.dataCentre,
+            incarnation,
+            sessions.sumOf { it.inFlight },
+            plannedStop.leavingOrNull != null,
+            peers,
+            peers.filter { it.role == Role.ENTRY }.map { it.vm },
+            configuration.current?.revision,
+            spread.digest,
+        )
+        return Json.encodeToString(AgentReport.serializer(), report)
+    }
 }
--- a/entry/src/main/kotlin/org/vanilladale/entry/BoundLinks.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/BoundLinks.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.entry
 
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.vanilladale.schema.PoolTarget
@@ -10,6 +11,7 @@
  * @param dial starts a link of its own to a target; the receiver stops it
  */
 internal class BoundLinks(
+    private val scope: CoroutineScope,
     private val links: AgentLinks,
     private val dial: (PoolTarget) -> AgentLink,
 ) {
@@ -34,7 +36,7 @@
             }
             return block(connected)
         } finally {
-            link.stop()
+            link.retire(scope)
         }
     }
 
--- a/operator/src/main/kotlin/org/vanilladale/operator/ExplainCommand.kt
+++ b/operator/src/main/kotlin/org/vanilladale/operator/ExplainCommand.kt
@@ -59,7 +59,7 @@
     }
 
     private fun listed(target: PoolTarget) =
-        TargetReport(target.target, target.dataCentre, state = "listed")
+        TargetReport(target.target, connected = false, target.dataCentre, "listed")
 
     private fun describe(report: ExplainReport): List<String> = buildList {
         report.route?.let { route ->
--- a/transport/src/main/kotlin/org/vanilladale/transport/PeerConnection.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/PeerConnection.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.Heartbeat
@@ -73,7 +74,7 @@
     ): CloseReason = try {
         runUntilClosed(heartbeat, onFrame)
     } finally {
-        // A cancelled caller must not leave the socket open.
+        // A cancelled run ends the connection too; the peer would otherwise wait for silence.
         finish(CloseReason.LOCAL)
         closeSocket()
     }
@@ -89,7 +90,11 @@
         watching.cancel()
         reading.cancel()
         // Frames that were queued before a local close, such as a last refusal, are still written.
-        if (reason == CloseReason.LOCAL) writing.join() else writing.cancel()
+        // A peer that reads nothing must not hold the end up.
+        if (reason == CloseReason.LOCAL) {
+            withTimeoutOrNull(timing.heartbeatMilliseconds) { writing.join() }
+        }
+        writing.cancel()
         reason
     }
 
