--- a/transport/src/main/kotlin/org/vanilladale/transport/LocalIdentity.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/LocalIdentity.kt
@@ -18,6 +18,7 @@
         secret = secret,
         dataCentre = identity.dataCentre,
         incarnation = identity.incarnation,
+        target = identity.target,
     )
 
     internal fun welcome(): Welcome = Welcome(
--- a/transport/src/main/kotlin/org/vanilladale/transport/PeerNetwork.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/PeerNetwork.kt
@@ -126,7 +126,13 @@
             return null
         }
         writeOne(writer, local.welcome())
-        val remote = PeerIdentity(hello.sender, hello.role, hello.dataCentre, hello.incarnation)
+        val remote = PeerIdentity(
+            hello.sender,
+            hello.role,
+            hello.dataCentre,
+            hello.incarnation,
+            hello.target,
+        )
         return PeerConnection(remote, socket, reader, writer, timing, clock)
     }
 
