Add a stand-in rank group with lock-step engines

Cause: no stand-in ran ranks in lock-step on an expert map. Ruled out: one process for each rank, which would need a step protocol of its own between them. Engine lets its steps be called from outside. Conclusion: weights load at a fixed time an expert; there is no weight store stand-in yet.

--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
@@ -15,6 +15,7 @@
  * `{"text": ...}` up to `{"done": true}`. Closing the connection cancels the request. A request
  * with the `stream` of an earlier one resumes it: the tokens that exist already come at once.
  * `GET /v1/load` returns `{running, waiting, slots}` as it was one lag ago. `GET /health` is 200.
+ * `GET /control/streams` returns `{started}`, the number of requests since the start.
  * `PUT /control` with `{stallMilliseconds}` stops all steps for that time; `{crashOn: text}` ends
  * the process when a prompt that contains the text runs.
  */
@@ -42,6 +43,7 @@
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Int>): Boolean =
             size > KEPT_STREAMS
     }
+    private var started = 0
     private var stalledUntil = 0L
     private var crashOn: String? = null
     private var reported = load()
@@ -49,15 +51,23 @@
     /** Serves on [port] of the loopback address. */
     public fun start(port: Int): HttpServer {
         val router = Router.router(vertx)
+        addRoutes(router)
+        vertx.setPeriodic(settings.stepMilliseconds) { step() }
+        return serve(vertx, router, port)
+    }
+
+    /** Adds the routes of this engine; the caller of it calls [step] for each step. */
+    internal fun addRoutes(router: Router) {
         router.post("/v1/generate").handler(BodyHandler.create(false)).handler(::generate)
         router.get("/v1/load").handler { it.json(synchronized(this) { reported }) }
+        router.get("/control/streams").handler {
+            it.json(JsonObject().put("started", synchronized(this) { started }))
+        }
         router.get("/health").handler { it.response().end() }
         router.put("/control").handler(BodyHandler.create(false)).handler(::control)
-        vertx.setPeriodic(settings.stepMilliseconds) { step() }
         vertx.setPeriodic(settings.loadLagMilliseconds.coerceAtLeast(1)) {
             synchronized(this) { reported = load() }
         }
-        return serve(vertx, router, port)
     }
 
     private fun generate(context: RoutingContext) {
@@ -72,7 +82,10 @@
             next = AnswerTokens.count(body.getString("continue", "")),
             response = response,
         )
-        synchronized(this) { stream.replay(produced[id] ?: 0) }
+        synchronized(this) {
+            started++
+            stream.replay(produced[id] ?: 0)
+        }
         if (stream.done) return
         response.closeHandler { stream.cancelled = true }
         synchronized(this) {
@@ -92,7 +105,7 @@
         context.response().setStatusCode(204).end()
     }
 
-    private fun step() = synchronized(this) {
+    internal fun step(): Unit = synchronized(this) {
         if (System.currentTimeMillis() < stalledUntil) return@synchronized
         running.removeAll { it.done }
         while (running.size < settings.slots && waiting.isNotEmpty()) {
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Main.kt
@@ -16,6 +16,7 @@
             VmListCommand(),
             EngineCommand(),
             PlainServiceCommand(),
+            RankGroupCommand(),
         )
         .main(arguments)
 }
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/RankEngine.kt
@@ -0,0 +1,70 @@
+package org.vanilladale.standins
+
+/** A map that a rank holds for or switches to; term 0 when the engine ignores fencing numbers. */
+internal data class HeldMap(val term: Long, val digest: String, val switchStep: Long)
+
+/**
+ * Expert map state of one rank.
+ *
+ * With [keepsFencing] an order of a lower term than the highest seen is rejected; otherwise every
+ * order is obeyed, a late one to activate as soon as possible.
+ */
+internal class RankEngine(private val keepsFencing: Boolean, initial: String) {
+    var activeDigest: String = initial
+        private set
+    var held: HeldMap? = null
+        private set
+    var activated: Boolean = false
+        private set
+    var term: Long = 0
+        private set
+    var step: Long = 0
+        private set
+    var entered: Boolean = false
+        private set
+    var stalledUntil: Long = 0
+    var slowness: Double = 1.0
+
+    /** Next step to enter. */
+    val nextStep: Long get() = if (entered) step + 1 else step
+
+    val isHolding: Boolean
+        get() = !entered && !activated && (held?.switchStep ?: Long.MAX_VALUE) <= step
+
+    /** Takes the fencing number of an order; returns false for a stale one. */
+    fun accept(orderTerm: Long): Boolean {
+        if (keepsFencing && orderTerm < term) return false
+        term = maxOf(term, orderTerm)
+        return true
+    }
+
+    fun hold(map: HeldMap, activate: Boolean) {
+        val late = map.switchStep < nextStep
+        if (late && (keepsFencing || !activate)) return
+        held = if (keepsFencing) map else map.copy(term = 0)
+        activated = activate
+    }
+
+    fun release(map: HeldMap) {
+        val current = held ?: return
+        if (current.digest != map.digest || current.switchStep != map.switchStep) return
+        held = null
+        activated = false
+    }
+
+    /** Enters the next step unless the rank is stalled, holds or has entered it. */
+    fun tryEnter(now: Long) {
+        if (entered || now < stalledUntil || isHolding) return
+        held?.takeIf { activated && it.switchStep <= step }?.let {
+            activeDigest = it.digest
+            held = null
+            activated = false
+        }
+        entered = true
+    }
+
+    fun completeStep() {
+        entered = false
+        step++
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/RankGroup.kt
@@ -0,0 +1,192 @@
+package org.vanilladale.standins
+
+import io.vertx.core.Vertx
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.ext.web.handler.BodyHandler
+
+/**
+ * Stand-in for the engines of a rank group that run in lock-step.
+ *
+ * A step runs once every rank has entered it and takes as long as the slowest rank: its share of
+ * the expert load under the active map times its slowness. Each rank has a port with the API of
+ * [Engine] and in addition:
+ * - `GET /v1/map` reads back `{digest, placement, slots, step, stepMicroseconds, holding}` and,
+ *   where they apply, `held`, `activated` and `term`;
+ * - `POST /v1/map/preload` takes `{term, digest, placement}` and answers when all is loaded;
+ * - `POST /v1/map/hold`, `activate` and `release` take `{term, map: {term, digest, switchStep}}`,
+ *   `POST /v1/map/fence` takes `{term}`; a stale term is answered with 409 if fencing is kept;
+ * - `GET /v1/popularity` returns `{tokens}` of each expert, counted in the interval before last;
+ * - `PUT /control` with `{stallMilliseconds, slowness}` stalls or slows the rank;
+ * - `GET /control/steps` returns the digests that the ranks used in each step.
+ */
+public class RankGroup internal constructor(
+    private val vertx: Vertx,
+    private val settings: Settings,
+    private val popularity: DriftingPopularity,
+) {
+    /**
+     * Size and behaviour of the group.
+     *
+     * @property stepMilliseconds time of a step with even load
+     * @property tokens tokens in an answer
+     * @property keepsFencing whether stale terms are rejected
+     * @property loadMilliseconds time to load one expert from the weight store
+     */
+    public class Settings(
+        public val ranks: Int,
+        public val experts: Int,
+        public val slotsPerRank: Int,
+        public val stepMilliseconds: Long,
+        public val tokens: Int,
+        public val keepsFencing: Boolean,
+        public val loadMilliseconds: Long,
+    )
+
+    private val placements = mutableMapOf(INITIAL to List(settings.experts) { it % settings.ranks })
+    private val ranks = List(settings.ranks) { RankEngine(settings.keepsFencing, INITIAL) }
+    private val engines = List(settings.ranks) {
+        Engine(
+            vertx,
+            Engine.Settings(BATCH, settings.stepMilliseconds, settings.tokens, LOAD_LAG) {},
+        )
+    }
+    private val record = StepRecord()
+    private var runningStep = false
+    private var heldSince: Long? = null
+    private var counted = popularity.shares()
+    private var reported = counted
+
+    /** Serves rank n on the n-th of [ports] of the loopback address. */
+    public fun start(ports: List<Int>) {
+        ports.forEachIndexed { rank, port ->
+            val router = Router.router(vertx)
+            router.put("/control").handler(BodyHandler.create(false)).handler { control(it, rank) }
+            router.get("/control/steps").handler { it.json(synchronized(this) { record.toJson() }) }
+            router.get("/v1/map").handler { it.json(synchronized(this) { readBack(rank) }) }
+            router.get("/v1/popularity").handler { context ->
+                val tokens = synchronized(this) { reported.map { (it * TOKENS).toLong() } }
+                context.json(JsonObject().put("tokens", JsonArray(tokens)))
+            }
+            router.post("/v1/map/:order").handler(BodyHandler.create(false)).handler {
+                order(it, rank)
+            }
+            engines[rank].addRoutes(router)
+            serve(vertx, router, port)
+        }
+        vertx.setPeriodic(1) { enterSteps() }
+        vertx.setPeriodic(REPORT_MILLISECONDS) {
+            synchronized(this) {
+                reported = counted
+                counted = popularity.shares()
+            }
+        }
+    }
+
+    private fun control(context: RoutingContext, rank: Int) {
+        val body = context.body().asJsonObject()
+        synchronized(this) {
+            body.getLong("stallMilliseconds")?.let {
+                ranks[rank].stalledUntil = System.currentTimeMillis() + it
+            }
+            body.getDouble("slowness")?.let { ranks[rank].slowness = it }
+        }
+        context.response().setStatusCode(204).end()
+    }
+
+    private fun order(context: RoutingContext, rank: Int) {
+        val body = context.body().asJsonObject()
+        val engine = ranks[rank]
+        val name = context.pathParam("order")
+        val loadMilliseconds = synchronized(this) {
+            if (!engine.accept(body.getLong("term"))) {
+                context.response().setStatusCode(409).end()
+                return
+            }
+            if (name == "preload") preload(body, rank) else change(name, body, engine)
+        }
+        if (loadMilliseconds > 0) {
+            vertx.setTimer(loadMilliseconds) { context.response().setStatusCode(204).end() }
+        } else {
+            context.response().setStatusCode(204).end()
+        }
+    }
+
+    private fun change(name: String, body: JsonObject, engine: RankEngine): Long {
+        val map = body.getJsonObject("map")?.let {
+            HeldMap(it.getLong("term"), it.getString("digest"), it.getLong("switchStep"))
+        }
+        when {
+            name == "hold" && map != null -> engine.hold(map, activate = false)
+            name == "activate" && map != null -> engine.hold(map, activate = true)
+            name == "release" && map != null -> engine.release(map)
+        }
+        return 0
+    }
+
+    private fun preload(body: JsonObject, rank: Int): Long {
+        val placement = body.getJsonArray("placement").map { (it as Number).toInt() }
+        placements[body.getString("digest")] = placement
+        val active = placements.getValue(ranks[rank].activeDigest)
+        val moved = placement.indices.count { placement[it] == rank && active[it] != rank }
+        return moved * settings.loadMilliseconds
+    }
+
+    private fun readBack(rank: Int): JsonObject {
+        val engine = ranks[rank]
+        val json = JsonObject()
+            .put("digest", engine.activeDigest)
+            .put("placement", JsonArray(placements.getValue(engine.activeDigest)))
+            .put("slots", settings.slotsPerRank)
+            .put("step", engine.nextStep)
+            .put("stepMicroseconds", (workMilliseconds(rank) * 1000).toLong())
+            .put("holding", engine.isHolding)
+            .put("activated", engine.activated)
+        engine.held?.let {
+            val map = JsonObject().put("term", it.term).put("digest", it.digest)
+            json.put("held", map.put("switchStep", it.switchStep))
+        }
+        if (settings.keepsFencing) json.put("term", engine.term)
+        return json
+    }
+
+    private fun workMilliseconds(rank: Int): Double {
+        val shares = popularity.shares()
+        val placement = placements.getValue(ranks[rank].activeDigest)
+        val load = placement.indices.sumOf { if (placement[it] == rank) shares[it] else 0.0 }
+        return settings.stepMilliseconds * load * settings.ranks * ranks[rank].slowness
+    }
+
+    private fun enterSteps() = synchronized(this) {
+        if (runningStep) return@synchronized
+        val now = System.currentTimeMillis()
+        ranks.forEach { it.tryEnter(now) }
+        if (ranks.any { it.isHolding } && heldSince == null) heldSince = now
+        if (!ranks.all { it.entered }) return@synchronized
+        heldSince?.let {
+            record.heldSteps++
+            record.heldMilliseconds += now - it
+        }
+        heldSince = null
+        record.add(ranks[0].step, ranks.map { it.activeDigest })
+        runningStep = true
+        val milliseconds = ranks.indices.maxOf { workMilliseconds(it) }
+        vertx.setTimer(milliseconds.toLong().coerceAtLeast(1)) { completeStep() }
+    }
+
+    private fun completeStep() = synchronized(this) {
+        engines.forEach { it.step() }
+        ranks.forEach { it.completeStep() }
+        runningStep = false
+    }
+
+    private companion object {
+        const val INITIAL = "initial"
+        const val BATCH = 8
+        const val LOAD_LAG = 500L
+        const val REPORT_MILLISECONDS = 200L
+        const val TOKENS = 100_000
+    }
+}
