Run map switches and expert placement in the agent

Cause: the decisions of rankgroup and placement were not part of any program. Ruled out: a digest of the map alone, since a late order could name a map that came back; a digest now belongs to one switch. Ruled out: reports to all ranks, whose traffic grows with the square of the ranks; they go to the two lowest connected ranks. Change: agents of a group connect to each other; each holds its rank's lease, member and gate under one lock and sends orders in sequence; the lowest connected rank plans and switches; any rank recovers a switch that holds for longer than a lease. Load reports carry slow and entries prefer other groups. Conclusion: maps have one copy an expert, because MapPrepare names one rank an expert.

--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -9,8 +9,11 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import org.tinylog.kotlin.Logger
+import org.vanilladale.agent.rankgroup.GroupAgent
+import org.vanilladale.agent.rankgroup.ServiceTables
 import org.vanilladale.runtime.OperatorEndpoint
 import org.vanilladale.runtime.PlannedStop
+import org.vanilladale.runtime.PlatformReader
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.systemNow
 import org.vanilladale.schema.AgentSettings
@@ -46,6 +49,11 @@
     )
     private val slots = SlotQueue(settings.slots, settings.queue, ::systemNow)
     private val runner = AttemptRunner(targetCaller(), slots, ::systemNow)
+    private val tables = ServiceTables(
+        PlatformReader(vertx, settings.configurationServiceUrl, settings.vmListUrl),
+    )
+    private val group =
+        GroupAgent(settings, vertx, network, counters, tables::current, slots::setSlow)
     private val nextSession = AtomicLong()
     private val sessions = ConcurrentHashMap.newKeySet<EntrySession>()
     private val plannedStop = PlannedStop(
@@ -61,6 +69,8 @@
         val pages = mapOf("/v1/status" to { _: Map<String, String> -> statusText() })
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
+        tables.start(scope)
+        group.start(scope)
         network.listen(scope, settings.peerAddress, ::serve)
         Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
     }
@@ -79,6 +89,7 @@
     }
 
     private suspend fun serve(connection: PeerConnection) {
+        if (connection.remote.role == Role.AGENT) return group.serve(connection)
         val session = EntrySession(
             scope,
             nextSession.getAndIncrement(),
--- a/agent/src/main/kotlin/org/vanilladale/agent/SlotQueue.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/SlotQueue.kt
@@ -47,6 +47,14 @@
         healthy = value
     }
 
+    @Volatile
+    private var slow = false
+
+    /** Marks the rank group of the target as slow or in time, for the load reports. */
+    fun setSlow(value: Boolean) {
+        slow = value
+    }
+
     /** Load of the target now. */
     fun load(): Load = lock.withLock { loadUnderLock() }
 
@@ -131,6 +139,7 @@
         reportedAt = clock(),
         serviceMicroseconds = serviceTime.microseconds,
         healthy = healthy,
+        slow = slow,
     )
 
     private fun microsecondsSince(startedAt: Long): Long =
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/EngineMaps.kt
@@ -0,0 +1,115 @@
+package org.vanilladale.agent.rankgroup
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
+import io.vertx.kotlin.coroutines.coAwait
+import org.vanilladale.core.rankgroup.EngineOrder
+import org.vanilladale.core.rankgroup.EngineReadBack
+import org.vanilladale.runtime.runCatchingIo
+import org.vanilladale.schema.ArmedMap
+import org.vanilladale.schema.Digest
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Step
+import org.vanilladale.schema.Term
+
+/**
+ * State of the engine of a rank.
+ *
+ * @property placement rank of each expert in the active map
+ * @property stepMicroseconds mean time of the rank's own work in a step
+ */
+internal class EngineStatus(
+    val readBack: EngineReadBack,
+    val placement: List<Rank>,
+    val slots: Int,
+    val stepMicroseconds: Long,
+    val holding: Boolean,
+)
+
+/**
+ * Calls the expert map API of the engine of a rank.
+ *
+ * Orders have no time limit: an order that was given up could take effect after later ones.
+ */
+internal class EngineMaps(vertx: Vertx, private val engineUrl: String) {
+    private val client = WebClient.create(
+        vertx,
+        WebClientOptions(),
+        PoolOptions().setHttp1MaxSize(CONNECTIONS),
+    )
+
+    /** Reads the state back, or returns null when the engine can't be reached. */
+    suspend fun readBack(): EngineStatus? = get("/v1/map")?.let { status(it) }
+
+    /** Returns the tokens of each expert in the last report. */
+    suspend fun popularity(): List<Double>? = get("/v1/popularity")?.getJsonArray("tokens")
+        ?.map { (it as Number).toDouble() }
+
+    /** Sends [order]; returns false when the connection fails. A rejected order counts as sent. */
+    suspend fun send(order: EngineOrder, placement: List<Rank>): Boolean {
+        val body = JsonObject().put("term", order.term.value)
+        val name = when (order) {
+            is EngineOrder.Fence -> "fence"
+
+            is EngineOrder.Preload -> {
+                body.put("digest", order.digest.text)
+                body.put("placement", JsonArray(placement.map { it.value }))
+                "preload"
+            }
+
+            is EngineOrder.Hold -> "hold".also { body.put("map", map(order.map)) }
+
+            is EngineOrder.Activate -> "activate".also { body.put("map", map(order.map)) }
+
+            is EngineOrder.Release -> "release".also { body.put("map", map(order.map)) }
+        }
+        return runCatchingIo {
+            client.postAbs("$engineUrl/v1/map/$name").sendJsonObject(body).coAwait()
+        } != null
+    }
+
+    private suspend fun get(path: String): JsonObject? = runCatchingIo {
+        client.getAbs(engineUrl + path).timeout(READ_MILLISECONDS).send().coAwait()
+    }?.takeIf { it.statusCode() == HTTP_OK }?.bodyAsJsonObject()
+
+    private fun map(armed: ArmedMap) = JsonObject()
+        .put("term", armed.term.value)
+        .put("digest", armed.digest.text)
+        .put("switchStep", armed.switchStep.value)
+
+    private fun status(json: JsonObject): EngineStatus {
+        val held = json.getJsonObject("held")?.let {
+            ArmedMap(
+                Term(it.getLong("term")),
+                Digest.parse(it.getString("digest")),
+                Step(it.getLong("switchStep")),
+            )
+        }
+        val readBack = EngineReadBack(
+            Digest.parse(json.getString("digest")),
+            Step(json.getLong("step")),
+            held,
+            json.getBoolean("activated", false),
+            json.getLong("term")?.let { Term(it) },
+        )
+        return EngineStatus(
+            readBack,
+            json.getJsonArray("placement").map { Rank((it as Number).toInt()) },
+            json.getInteger("slots"),
+            json.getLong("stepMicroseconds"),
+            json.getBoolean("holding", false),
+        )
+    }
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val READ_MILLISECONDS = 1_000L
+
+        /** One for orders and read-back in sequence, the others for preloads and reports. */
+        const val CONNECTIONS = 4
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/EngineQueue.kt
@@ -0,0 +1,98 @@
+package org.vanilladale.agent.rankgroup
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.vanilladale.core.rankgroup.EngineOrder
+
+/**
+ * Sends the orders of one rank to its engine in sequence and reads the state back in between.
+ *
+ * A read-back never overlaps an order, because one from before the order would undo what the
+ * member learned from its answer. Preloads run beside the sequence and only their end is in it.
+ */
+internal class EngineQueue(private val maps: EngineMaps, private val rank: RankState) {
+    private sealed interface Job {
+        class Order(val order: EngineOrder) : Job
+
+        class Loaded(val order: EngineOrder) : Job
+
+        data object Poll : Job
+    }
+
+    private val jobs = Channel<Job>(Channel.UNLIMITED)
+
+    /** Last state of the engine. */
+    @Volatile
+    var status: EngineStatus? = null
+        private set
+
+    /** Queues [order]; never waits. */
+    fun add(order: EngineOrder) {
+        jobs.trySend(Job.Order(order))
+    }
+
+    fun start(scope: CoroutineScope, onPoll: (EngineStatus) -> Unit) {
+        scope.launch {
+            for (job in jobs) {
+                when (job) {
+                    is Job.Order -> start(scope, job.order)
+                    is Job.Loaded -> rank.onOrderDone(job.order, readBack().readBack)
+                    Job.Poll -> poll(onPoll)
+                }
+            }
+        }
+        scope.launch {
+            while (isActive) {
+                if (jobs.isEmpty) jobs.trySend(Job.Poll)
+                delay(POLL_MILLISECONDS)
+            }
+        }
+    }
+
+    private suspend fun poll(onPoll: (EngineStatus) -> Unit) {
+        val read = maps.readBack() ?: return
+        status = read
+        rank.onReadBack(read.readBack)
+        onPoll(read)
+    }
+
+    private suspend fun start(scope: CoroutineScope, order: EngineOrder) {
+        if (order is EngineOrder.Preload) {
+            scope.launch {
+                send(order)
+                jobs.send(Job.Loaded(order))
+            }
+        } else {
+            send(order)
+            rank.onOrderDone(order, readBack().readBack)
+        }
+    }
+
+    /** The gate is asked before each try, because a higher term may have been promised. */
+    private suspend fun send(order: EngineOrder) {
+        val placement = if (order is EngineOrder.Preload) {
+            rank.placementOrNull(order.digest) ?: return
+        } else {
+            emptyList()
+        }
+        while (rank.admits(order) && !maps.send(order, placement)) delay(RETRY_MILLISECONDS)
+    }
+
+    private suspend fun readBack(): EngineStatus {
+        while (true) {
+            maps.readBack()?.let {
+                status = it
+                return it
+            }
+            delay(RETRY_MILLISECONDS)
+        }
+    }
+
+    private companion object {
+        const val POLL_MILLISECONDS = 100L
+        const val RETRY_MILLISECONDS = 100L
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/GroupMember.kt
@@ -0,0 +1,189 @@
+package org.vanilladale.agent.rankgroup
+
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
+import org.vanilladale.core.placement.PlacementProposal
+import org.vanilladale.schema.AgentSettings
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.LeaseRelease
+import org.vanilladale.schema.LeaseReply
+import org.vanilladale.schema.LeaseRequest
+import org.vanilladale.schema.MapAbort
+import org.vanilladale.schema.MapArm
+import org.vanilladale.schema.MapArmed
+import org.vanilladale.schema.MapConfirm
+import org.vanilladale.schema.MapPrepare
+import org.vanilladale.schema.MapPrepared
+import org.vanilladale.schema.MapQuery
+import org.vanilladale.schema.MapState
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.RankReport
+import org.vanilladale.schema.Term
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.transport.PeerConnection
+import org.vanilladale.transport.PeerNetwork
+
+/** What a group member needs from the agent. */
+internal class MemberPorts(
+    val network: PeerNetwork,
+    val clock: () -> Timestamp,
+    val skewWeight: () -> Double,
+    val onHealth: (slow: Boolean) -> Unit,
+    val onEvent: (String) -> Unit,
+)
+
+/** The part of one agent in its rank group, as long as its place in the tables stays the same. */
+internal class GroupMember(
+    val place: GroupPlace,
+    settings: AgentSettings,
+    vertx: Vertx,
+    parent: CoroutineScope,
+    private val ports: MemberPorts,
+) {
+    private val job = Job()
+    private val scope = parent + job
+    private val maps = EngineMaps(vertx, settings.targetUrl)
+    private val peers = GroupPeers(place, ports.network, ::onPeerFrame)
+    private val view = GroupView(place, settings.stepDeadlineMilliseconds, ports.clock)
+    private val rank = RankState(
+        place,
+        settings.longestLeaseMilliseconds,
+        RankPorts({ queue.add(it) }, ::send),
+        ports.clock,
+    )
+    private val queue: EngineQueue = EngineQueue(maps, rank)
+    private val plan = ExpertPlan(place.ranks.size, settings)
+    private val coordinator = GroupCoordinator(
+        place,
+        settings,
+        view,
+        CoordinatorPorts(
+            { peers.connected },
+            ::send,
+            ::propose,
+            plan::accepted,
+            { queue.status?.readBack?.term ?: Term(0) },
+        ),
+        ports.clock,
+    )
+
+    /** Counters for operators. */
+    val counts: Map<String, Double>
+        get() = mapOf(
+            "group-frames" to peers.frames.toDouble(),
+            "group-bytes" to peers.bytes.toDouble(),
+            "group-dropped" to rank.dropped.toDouble(),
+        )
+
+    fun start() {
+        peers.start(scope)
+        queue.start(scope, ::onStatus)
+        scope.launch { coordinator.run() }
+        scope.launch { watch() }
+    }
+
+    fun stop() {
+        job.cancel()
+        peers.close()
+    }
+
+    /** Serves a connection that a peer has dialled. */
+    suspend fun serve(connection: PeerConnection) {
+        peers.serve(connection)
+    }
+
+    private fun onStatus(status: EngineStatus) {
+        if (view.report(report(status))) sendReport(status)
+    }
+
+    private suspend fun watch() {
+        var lastReport = ports.clock()
+        while (scope.isActive) {
+            delay(WATCH_MILLISECONDS)
+            ports.onHealth(view.health().slow)
+            (place.peers.keys - peers.connected).forEach { view.lost(it) }
+            val now = ports.clock()
+            if (now.millisecondsSince(lastReport) >= REPORT_MILLISECONDS) {
+                lastReport = now
+                queue.status?.let { sendReport(it) }
+            }
+        }
+    }
+
+    /** The lowest rank and the next one, which takes over from it, need the reports. */
+    private fun sendReport(status: EngineStatus) {
+        val receivers = (peers.connected + place.rank).sorted().take(REPORT_RECEIVERS)
+        (receivers - place.rank).forEach { peers.send(it, report(status)) }
+    }
+
+    private fun report(status: EngineStatus) = RankReport(
+        place.group,
+        place.rank,
+        status.readBack.step,
+        status.stepMicroseconds,
+        status.holding,
+    )
+
+    private fun send(to: Rank, frame: Frame) {
+        if (to == place.rank) dispatch(to, frame) else peers.send(to, frame)
+    }
+
+    private fun onPeerFrame(from: Rank, frame: Frame) {
+        if (senderOf(frame)?.let { it == from } == false) {
+            ports.onEvent("group-frame-of-other-rank")
+        } else {
+            dispatch(from, frame)
+        }
+    }
+
+    private fun senderOf(frame: Frame): Rank? = when (frame) {
+        is LeaseReply -> frame.rank
+        is MapPrepared -> frame.rank
+        is MapArmed -> frame.rank
+        is MapState -> frame.rank
+        is MapQuery -> frame.rank
+        is RankReport -> frame.rank
+        else -> null
+    }
+
+    private fun dispatch(from: Rank, frame: Frame) {
+        when (frame) {
+            is LeaseReply, is MapPrepared, is MapArmed -> coordinator.receive(frame)
+
+            is MapState -> if (frame.query == HOLDER_QUERY) {
+                coordinator.receive(frame)
+            } else {
+                rank.onFrame(from, frame)
+            }
+
+            is LeaseRequest, is LeaseRelease, is MapPrepare, is MapArm, is MapAbort,
+            is MapConfirm, is MapQuery,
+            -> rank.onFrame(from, frame)
+
+            is RankReport -> view.report(frame)
+
+            else -> ports.onEvent("frame-unexpected")
+        }
+    }
+
+    private suspend fun propose(now: Timestamp): PlacementProposal? {
+        val status = queue.status ?: return null
+        val stepMilliseconds = view.stepMilliseconds() ?: return null
+        val tokens = maps.popularity() ?: return null
+        return plan.proposeOrNull(status, tokens, stepMilliseconds, ports.skewWeight(), now)
+    }
+
+    private companion object {
+        /** The query number of a [MapState] that answers a holder. */
+        const val HOLDER_QUERY = 0L
+        const val WATCH_MILLISECONDS = 100L
+        const val REPORT_MILLISECONDS = 2_000L
+        const val REPORT_RECEIVERS = 2
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/GroupPeers.kt
@@ -0,0 +1,105 @@
+package org.vanilladale.agent.rankgroup
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.tinylog.kotlin.Logger
+import org.vanilladale.runtime.systemNow
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.Heartbeat
+import org.vanilladale.schema.PoolTarget
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.RankReport
+import org.vanilladale.schema.Role
+import org.vanilladale.transport.FrameCodec
+import org.vanilladale.transport.PeerConnection
+import org.vanilladale.transport.PeerNetwork
+
+/** Connections to the agents of the other ranks; agents dial the peers with a lower rank. */
+internal class GroupPeers(
+    private val place: GroupPlace,
+    private val network: PeerNetwork,
+    private val onFrame: (Rank, Frame) -> Unit,
+) {
+    private val connections = ConcurrentHashMap<Rank, PeerConnection>()
+    private val frameCount = AtomicLong()
+    private val byteCount = AtomicLong()
+
+    /** Ranks with an open connection. */
+    val connected: Set<Rank> get() = connections.keys
+
+    /** Frames of map switches sent to other agents, without the regular reports. */
+    val frames: Long get() = frameCount.get()
+
+    /** Bytes of [frames]. */
+    val bytes: Long get() = byteCount.get()
+
+    fun start(scope: CoroutineScope) {
+        place.peers.filterKeys { it < place.rank }.forEach { (rank, target) ->
+            scope.launch { while (isActive) connectOnce(rank, target) }
+        }
+    }
+
+    /** Sends [frame] to the agent of [rank] unless there is no connection. */
+    fun send(rank: Rank, frame: Frame) {
+        val sent = connections[rank]?.trySend(frame) == true
+        if (sent && frame !is RankReport) {
+            frameCount.incrementAndGet()
+            byteCount.addAndGet((FrameCodec.encode(frame).size + Int.SIZE_BYTES).toLong())
+        }
+    }
+
+    /** Serves a connection that a peer with a higher rank has dialled. */
+    suspend fun serve(connection: PeerConnection) {
+        val rank = place.rankOfOrNull(connection.remote.target)
+        if (rank == null || rank < place.rank) {
+            Logger.warn {
+                "group: ${connection.remote.vm} serves ${connection.remote.target}, which is no " +
+                    "higher rank of ${place.group}; correct the table of pools"
+            }
+            connection.close()
+        } else {
+            use(rank, connection)
+        }
+    }
+
+    /** Ends all connections. */
+    fun close() {
+        connections.values.forEach { it.close() }
+    }
+
+    private suspend fun connectOnce(rank: Rank, target: PoolTarget) {
+        val opened = network.dial(target.agentAddress).getOrNull()
+        if (opened == null) {
+            delay(REDIAL_MILLISECONDS)
+        } else if (opened.remote.role != Role.AGENT || opened.remote.target != target.target) {
+            Logger.warn {
+                "group: ${target.agentAddress} serves ${opened.remote.target}, but the table of " +
+                    "pools says ${target.target}; correct the table or the agent's settings"
+            }
+            opened.close()
+            delay(REDIAL_MILLISECONDS)
+        } else {
+            use(rank, opened)
+            delay(REDIAL_MILLISECONDS)
+        }
+    }
+
+    private suspend fun use(rank: Rank, connection: PeerConnection) {
+        connections.put(rank, connection)?.close()
+        try {
+            connection.run({ Heartbeat(systemNow()) }) { frame ->
+                if (frame !is Heartbeat) onFrame(rank, frame)
+            }
+        } finally {
+            connections.remove(rank, connection)
+        }
+    }
+
+    private companion object {
+        const val REDIAL_MILLISECONDS = 200L
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/RankState.kt
@@ -0,0 +1,150 @@
+package org.vanilladale.agent.rankgroup
+
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import org.vanilladale.core.rankgroup.EngineOrder
+import org.vanilladale.core.rankgroup.EngineOrderGate
+import org.vanilladale.core.rankgroup.EngineReadBack
+import org.vanilladale.core.rankgroup.MemberAction
+import org.vanilladale.core.rankgroup.RankLease
+import org.vanilladale.core.rankgroup.RankMapMember
+import org.vanilladale.schema.Digest
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.LeaseRelease
+import org.vanilladale.schema.LeaseReply
+import org.vanilladale.schema.LeaseRequest
+import org.vanilladale.schema.MapPrepare
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Timestamp
+
+/** How a rank reaches its engine and the other agents; called under the lock of the rank. */
+internal class RankPorts(
+    val order: (EngineOrder) -> Unit,
+    val send: (rank: Rank, frame: Frame) -> Unit,
+)
+
+/**
+ * Lease, map member and order gate of one rank under one lock.
+ *
+ * Orders are queued under the lock too, so that the engine gets them in the order of the decisions.
+ */
+internal class RankState(
+    private val place: GroupPlace,
+    longestLeaseMilliseconds: Long,
+    private val ports: RankPorts,
+    private val clock: () -> Timestamp,
+) {
+    private val lock = ReentrantLock()
+    private val lease =
+        RankLease(longestLeaseMilliseconds, clock().deadlineAfter(longestLeaseMilliseconds))
+    private val member =
+        RankMapMember(place.group, place.rank, place.ranks, ASK_MILLISECONDS)
+    private val gate = EngineOrderGate()
+    private var holder: Rank? = null
+    private var holderRequest = 0L
+    private val placements = object : LinkedHashMap<Digest, List<Rank>>() {
+        override fun removeEldestEntry(eldest: Map.Entry<Digest, List<Rank>>): Boolean =
+            size > KEPT_PLACEMENTS
+    }
+    private var restored = false
+
+    /** Frames and orders dropped because they were stale. */
+    val dropped: Long get() = lock.withLock { member.droppedFrames + gate.droppedOrders }
+
+    /** Takes a state read from the engine between two orders. */
+    fun onReadBack(readBack: EngineReadBack) {
+        lock.withLock {
+            restoreOnce(readBack)
+            if (lease.isSettled(clock())) act(member.onReadBack(readBack, clock()))
+        }
+    }
+
+    private fun restoreOnce(readBack: EngineReadBack) {
+        val term = readBack.term ?: return
+        if (restored || !place.checksFencing) return
+        restored = true
+        lease.restore(term)
+        gate.promise(term)
+    }
+
+    /** Last check before [order] goes to the engine. */
+    fun admits(order: EngineOrder): Boolean = lock.withLock { gate.admit(order) }
+
+    /** Returns the placement of the map [digest], or null when no holder has sent it. */
+    fun placementOrNull(digest: Digest): List<Rank>? = lock.withLock { placements[digest] }
+
+    /** Takes the engine's answer to [order]. */
+    fun onOrderDone(order: EngineOrder, readBack: EngineReadBack) {
+        lock.withLock { act(member.onOrderDone(order, readBack, clock())) }
+    }
+
+    /** Handles a frame of the agent of rank [from]. */
+    fun onFrame(from: Rank, frame: Frame) {
+        lock.withLock {
+            when (frame) {
+                is LeaseRequest -> request(from, frame)
+
+                is LeaseRelease -> lease.release(frame)
+
+                else -> {
+                    if (frame is MapPrepare) placements[frame.digest] = frame.placement
+                    act(member.onFrame(frame))
+                }
+            }
+        }
+    }
+
+    private fun request(from: Rank, frame: LeaseRequest) {
+        val now = clock()
+        // Nothing may be promised before the engine has been read back.
+        val ready = member.state != null
+        val decision = if (ready) lease.request(frame, now) else null
+        if (decision?.granted == true) {
+            holder = from
+            holderRequest = frame.request
+            gate.promise(frame.term)
+            act(member.promise(frame.term))
+            return
+        }
+        val reply = LeaseReply(
+            place.group,
+            place.rank,
+            false,
+            frame.term,
+            frame.request,
+            lease.highestTerm,
+            decision?.grantedFrom,
+        )
+        ports.send(from, reply)
+    }
+
+    private fun act(actions: List<MemberAction>) = actions.forEach { action ->
+        when (action) {
+            is MemberAction.ToHolder -> holder?.let { ports.send(it, action.frame) }
+
+            is MemberAction.ToRank -> ports.send(action.rank, action.frame)
+
+            is MemberAction.Order -> ports.order(action.order)
+
+            is MemberAction.Grant -> holder?.let {
+                val reply = LeaseReply(
+                    place.group,
+                    place.rank,
+                    true,
+                    action.term,
+                    holderRequest,
+                    lease.highestTerm,
+                    mapState = action.state,
+                )
+                ports.send(it, reply)
+            }
+        }
+    }
+
+    private companion object {
+        const val ASK_MILLISECONDS = 100L
+
+        /** A late frame of an earlier holder must not displace the map that is being loaded. */
+        const val KEPT_PLACEMENTS = 16
+    }
+}
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -79,6 +79,7 @@
     /** Takes a load report of [target]. */
     fun reported(pool: PoolName, target: TargetId, load: Load) {
         withPool(pool) { view.reported(target, load, clock()) }
+        if (load.slow) markSlow(pool, target, clock().deadlineAfter(SLOW_MILLISECONDS))
     }
 
     /** Gives [target] no new work from [leavingAt] on. */
@@ -126,5 +127,8 @@
 
     private companion object {
         const val SHARDS = 16
+
+        /** Longer than two heartbeats, so that one late report does not end the mark. */
+        const val SLOW_MILLISECONDS = 2_500L
     }
 }
