--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
 import org.tinylog.kotlin.Logger
+import org.vanilladale.agent.rankgroup.GroupAgent
 import org.vanilladale.core.configuration.configurationStateSettings
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.runtime.ConfigurationHolder
@@ -85,6 +86,8 @@
         { plannedStop.refusesNewWork() },
         ::systemNow,
     )
+    private val group =
+        GroupAgent(settings, vertx, network, counters, { configuration.current }, slots::setSlow)
     private val nextSession = AtomicLong()
     private val sessions = ConcurrentHashMap.newKeySet<EntrySession>()
     private val plannedStop: PlannedStop = PlannedStop(
@@ -103,6 +106,7 @@
         scope.launch { bound.forgetExpiredForever() }
         scope.launch { crashes.forgetExpiredForever() }
         spread.start()
+        group.start(scope)
         network.listen(scope, settings.peerAddress, ::serve)
         if (settings.targetType == PoolType.MODEL) scope.launch { cacheEvents().run() }
         Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
@@ -122,6 +126,7 @@
     }
 
     private suspend fun serve(connection: PeerConnection) {
+        if (connection.remote.role == Role.AGENT) return group.serve(connection)
         val session = EntrySession(
             scope,
             nextSession.getAndIncrement(),
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
@@ -17,6 +17,7 @@
  * A request whose `prefix` is not cached first waits for the prefill steps. Cache changes are
  * published at `GET /v1/cache-events?after=N` as `{last, events: [{prefix, stored, raisedAt}]}`.
  * `GET /v1/load` returns `{running, waiting, slots}` as it was one lag ago. `GET /health` is 200.
+ * `GET /control/streams` returns `{started}`, the number of requests since the start.
  * `PUT /control` with `{stallMilliseconds}` stops all steps for that time; `{crashOn: text}` ends
  * the process when a prompt that contains the text runs.
  */
@@ -49,6 +50,7 @@
             size > KEPT_STREAMS
     }
     private val cache = PrefixCache(settings.cachedPrefixes)
+    private var started = 0
     private var stalledUntil = 0L
     private var crashOn: String? = null
     private var reported = load()
@@ -56,19 +58,27 @@
     /** Serves on [port] of the loopback address. */
     public fun start(port: Int): HttpServer {
         val router = Router.router(vertx)
+        addRoutes(router)
+        vertx.setPeriodic(settings.stepMilliseconds) { step() }
+        return serve(vertx, router, port)
+    }
+
+    /** Adds the routes of this engine; the caller of it calls [step] for each step. */
+    internal fun addRoutes(router: Router) {
         router.post("/v1/generate").handler(BodyHandler.create(false)).handler(::generate)
         router.get("/v1/cache-events").handler { context ->
             val after = context.request().getParam("after")?.toLongOrNull() ?: 0
             context.json(synchronized(this) { cache.eventsAfter(after) })
         }
         router.get("/v1/load").handler { it.json(synchronized(this) { reported }) }
+        router.get("/control/streams").handler {
+            it.json(JsonObject().put("started", synchronized(this) { started }))
+        }
         router.get("/health").handler { it.response().end() }
         router.put("/control").handler(BodyHandler.create(false)).handler(::control)
-        vertx.setPeriodic(settings.stepMilliseconds) { step() }
         vertx.setPeriodic(settings.loadLagMilliseconds.coerceAtLeast(1)) {
             synchronized(this) { reported = load() }
         }
-        return serve(vertx, router, port)
     }
 
     private fun generate(context: RoutingContext) {
@@ -84,6 +94,7 @@
             response = response,
         )
         synchronized(this) {
+            started++
             stream.replay(produced[id] ?: 0)
             val prefix = body.getString("prefix")
             if (prefix != null && !cache.use(prefix)) stream.prefillSteps = settings.prefillSteps
@@ -107,7 +118,7 @@
         context.response().setStatusCode(204).end()
     }
 
-    private fun step() = synchronized(this) {
+    internal fun step(): Unit = synchronized(this) {
         if (System.currentTimeMillis() < stalledUntil) return@synchronized
         running.removeAll { it.done }
         while (running.size < settings.slots && waiting.isNotEmpty()) {
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
@@ -57,7 +57,7 @@
         repeat(5) { index ->
             var text = ""
             val outcome = runBlocking(late.asCoroutineDispatcher()) {
-                withTimeoutOrNull(5_000) { call(submit("key-$index")) { text += it } }
+                withTimeoutOrNull(5_000) { call(submit("key-$index"), { null }) { text += it } }
             }
             expectThat(outcome).isEqualTo(TargetOutcome.Completed)
             expectThat(text).contains("workspace-1/key-$index")
