Evaluate placement edits by the ranks they change and try all ranks

Cause: the search tried the eight fastest ranks as receivers, because every edit was applied to the draft and undone.

Change: the change of the potential is computed from the ranks whose load changes, without touching the draft. All ranks are receivers, barred copies are an array, and a map is built only for the stage that is proposed. The option receivingRanks and its variant are gone.

--- a/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementVariant.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementVariant.kt
@@ -87,6 +87,18 @@
     "cool-down-60s" to planner(PlacementOptions(coolDownMilliseconds = 60_000)),
     "cool-down-300s" to planner(PlacementOptions(coolDownMilliseconds = 300_000)),
     "budget-quarter" to planner(budget = { MoveBudget.of(it / 4) }),
-    "receivers-all" to planner(PlacementOptions(receivingRanks = Int.MAX_VALUE)),
+    "slow-60s" to planner(
+        popularity = PopularityOptions(slowMilliseconds = 60_000, shiftDistance = 1.0),
+    ),
+    "slow-30s" to planner(
+        popularity = PopularityOptions(slowMilliseconds = 30_000, shiftDistance = 1.0),
+    ),
+    "slow-600s-shift-0.02" to planner(
+        popularity = PopularityOptions(slowMilliseconds = 600_000, shiftDistance = 0.02),
+    ),
+    "slow-150s-shift-0.02" to planner(popularity = PopularityOptions(shiftDistance = 0.02)),
+    "slow-300s-shift-0.02" to planner(
+        popularity = PopularityOptions(slowMilliseconds = 300_000, shiftDistance = 0.02),
+    ),
     "budget-half" to planner(budget = { MoveBudget.of(it / 2) }),
 )
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementDraft.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementDraft.kt
@@ -4,6 +4,8 @@
 import org.vanilladale.schema.ExpertId
 import org.vanilladale.schema.Rank
 
+private const val DIRECT_CHANGES = 4
+
 /**
  * Map under change during one decision, with the predicted times of the ranks.
  *
@@ -24,6 +26,12 @@
     private val used = IntArray(rankCount)
     private val loads = DoubleArray(rankCount)
     private val timeOfLoad: DoubleArray
+    private val powers = DoubleArray(rankCount)
+    private val expertsOnRank = Array(rankCount) { IntArray(slots) }
+    private val ranksOfExpert = Array(expertCount) { IntArray(rankCount) }
+    private val loadChange = DoubleArray(rankCount)
+    private val changedRanks = IntArray(2 * rankCount + DIRECT_CHANGES)
+    private var changedCount = 0
 
     /** Sum of the eighth powers of the times: falls when any of the slowest ranks gets faster. */
     var potential = 0.0
@@ -49,39 +57,94 @@
     }
 
     val skew: Double get() = (0 until rankCount).maxOf { timeOf(it) }
+
     val slowestRank: Int get() = (0 until rankCount).maxBy { timeOf(it) }
 
-    /** Returns up to [count] ranks, the fastest first. */
-    fun fastestRanks(count: Int): List<Int> =
-        (0 until rankCount).sortedBy { timeOf(it) }.take(count)
+    fun timeOf(rank: Int): Double = loads[rank] * timeOfLoad[rank]
 
     fun holds(rank: Int, expert: Int): Boolean = held[rank][expert]
 
+    /** Returns the experts on [rank] as of the last [recompute], in no lasting order. */
+    fun expertsOn(rank: Int): IntArray = expertsOnRank[rank].copyOf(used[rank])
+
     fun hasFreeSlot(rank: Int): Boolean = used[rank] < slots
 
     fun isReplicated(expert: Int): Boolean = copies[expert] > 1
 
     fun shareOfCopy(expert: Int): Double = shares[expert] / copies[expert]
 
-    /** Recomputes all sums, so that rounding errors of tried edits do not add up. */
+    /** Adds a copy; loads and [potential] follow at the next [recompute]. */
+    fun add(rank: Int, expert: Int) {
+        held[rank][expert] = true
+        copies[expert]++
+        used[rank]++
+        if (!heldBefore[rank][expert]) loadCount++
+    }
+
+    /** Removes a copy; loads and [potential] follow at the next [recompute]. */
+    fun remove(rank: Int, expert: Int) {
+        held[rank][expert] = false
+        copies[expert]--
+        used[rank]--
+        if (!heldBefore[rank][expert]) loadCount--
+    }
+
+    /** Recomputes all sums from the copies, so that rounding errors do not add up. */
     fun recompute() {
-        loads.fill(0.0)
+        potential = 0.0
+        val copiesSeen = IntArray(expertCount)
         for (rank in 0 until rankCount) {
+            var load = 0.0
+            var count = 0
             for (expert in 0 until expertCount) {
-                if (held[rank][expert]) loads[rank] += shareOfCopy(expert)
+                if (!held[rank][expert]) continue
+                load += shareOfCopy(expert)
+                expertsOnRank[rank][count++] = expert
+                ranksOfExpert[expert][copiesSeen[expert]++] = rank
             }
+            loads[rank] = load
+            powers[rank] = power(timeOf(rank))
+            potential += powers[rank]
         }
-        potential = (0 until rankCount).sumOf { power(timeOf(it)) }
     }
 
-    fun add(rank: Int, expert: Int) {
-        change(rank, expert, isAdded = true)
-        if (!isOriginal(rank, expert)) loadCount++
-    }
-
-    fun remove(rank: Int, expert: Int) {
-        change(rank, expert, isAdded = false)
-        if (!isOriginal(rank, expert)) loadCount--
+    /** Returns the change of [loadCount] that the edit would make. */
+    fun loadsOf(expert: Int, from: Int, leaves: Boolean, to: Int, other: Int, returns: Boolean) =
+        loadsOfAdded(to, expert) - (if (leaves) loadsOfAdded(from, expert) else 0) -
+            loadsOfAdded(if (other == NONE) NONE else to, other) +
+            (if (returns) loadsOfAdded(from, other) else 0)
+
+    /**
+     * Returns the change of [potential] that the edit would make.
+     *
+     * Only the ranks whose load changes are evaluated: two for a move or a swap, and the other
+     * holders of an expert whose number of copies changes.
+     */
+    fun potentialChangeOf(
+        expert: Int,
+        from: Int,
+        leaves: Boolean,
+        to: Int,
+        other: Int,
+        returns: Boolean,
+    ): Double {
+        val added = (if (to == NONE) 0 else 1) - (if (leaves) 1 else 0)
+        val share = shareAfter(expert, added)
+        if (leaves) changeLoad(from, -share)
+        if (to != NONE) changeLoad(to, share)
+        if (other != NONE) {
+            val shareOfOther = shareAfter(other, if (returns) 0 else -1)
+            changeLoad(to, -shareOfOther)
+            if (returns) changeLoad(from, shareOfOther)
+        }
+        var change = 0.0
+        for (index in 0 until changedCount) {
+            val rank = changedRanks[index]
+            change += power((loads[rank] + loadChange[rank]) * timeOfLoad[rank]) - powers[rank]
+            loadChange[rank] = 0.0
+        }
+        changedCount = 0
+        return change
     }
 
     fun toMap(): ExpertMap {
@@ -91,30 +154,27 @@
         return ExpertMap.fromRanks(rankCount, slots, ranks).getOrElse { error(it.message) }
     }
 
-    private fun isOriginal(rank: Int, expert: Int): Boolean = heldBefore[rank][expert]
-
-    private fun change(rank: Int, expert: Int, isAdded: Boolean) {
-        val before = if (copies[expert] == 0) 0.0 else shareOfCopy(expert)
-        held[rank][expert] = isAdded
-        copies[expert] += if (isAdded) 1 else -1
-        used[rank] += if (isAdded) 1 else -1
-        val after = if (copies[expert] == 0) 0.0 else shareOfCopy(expert)
-        setLoad(rank, loads[rank] + if (isAdded) after else -before)
-        val othersHold = copies[expert] > if (isAdded) 1 else 0
-        if (!othersHold) return
-        for (other in 0 until rankCount) {
-            if (other != rank && held[other][expert]) setLoad(other, loads[other] + after - before)
+    private fun loadsOfAdded(rank: Int, expert: Int): Int =
+        if (rank == NONE || heldBefore[rank][expert]) 0 else 1
+
+    /** Returns the share of a copy after [added] copies, and notes the change at its holders. */
+    private fun shareAfter(expert: Int, added: Int): Double {
+        val count = copies[expert]
+        val after = shares[expert] / (count + added)
+        if (added != 0) {
+            val change = after - shareOfCopy(expert)
+            for (index in 0 until count) changeLoad(ranksOfExpert[expert][index], change)
         }
+        return after
     }
 
-    private fun setLoad(rank: Int, load: Double) {
-        potential -= power(timeOf(rank))
-        loads[rank] = load
-        potential += power(timeOf(rank))
+    private fun changeLoad(rank: Int, change: Double) {
+        if (change == 0.0) return
+        // A rank is noted twice when its changes have cancelled out; the second term is then zero.
+        if (loadChange[rank] == 0.0) changedRanks[changedCount++] = rank
+        loadChange[rank] += change
     }
 
-    private fun timeOf(rank: Int): Double = loads[rank] * timeOfLoad[rank]
-
     private fun power(time: Double): Double {
         val square = time * time
         val fourth = square * square
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementEdit.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementEdit.kt
@@ -1,73 +1,94 @@
 package org.vanilladale.core.placement
 
-/** One copy to add to or remove from a draft. */
-internal data class CopyEdit(val rank: Int, val expert: Int, val isAdded: Boolean)
+/** Marks an edit without a receiving rank or without a second expert. */
+internal const val NONE = -1
 
-/** Smallest change of a draft: a move, a swap, an added, replaced or dropped replica. */
-internal class PlacementEdit(vararg val copies: CopyEdit) {
-    fun apply(draft: PlacementDraft) = copies.forEach { change(draft, it, it.isAdded) }
-
-    fun undo(draft: PlacementDraft) = copies.reversed().forEach { change(draft, it, !it.isAdded) }
-
-    private fun change(draft: PlacementDraft, copy: CopyEdit, isAdded: Boolean) {
-        if (isAdded) draft.add(copy.rank, copy.expert) else draft.remove(copy.rank, copy.expert)
+/**
+ * Smallest change of a draft that takes load off rank [from]: a dropped, added or replaced replica,
+ * a move or a swap.
+ *
+ * @property expert expert that gets a copy on [to], or loses its copy on [from], or both
+ * @property leaves whether the copy of [expert] on [from] is removed
+ * @property to rank that receives a copy of [expert], or [NONE]
+ * @property other expert whose copy on [to] makes room, or [NONE]
+ * @property returns whether [other] gets a copy on [from]
+ */
+internal data class PlacementEdit(
+    val expert: Int,
+    val from: Int,
+    val leaves: Boolean,
+    val to: Int,
+    val other: Int,
+    val returns: Boolean,
+) {
+    fun apply(draft: PlacementDraft) {
+        if (other != NONE) draft.remove(to, other)
+        if (leaves) draft.remove(from, expert)
+        if (to != NONE) draft.add(to, expert)
+        if (returns) draft.add(from, other)
+        draft.recompute()
     }
 }
 
+/** Receives the parts of an edit, so that the edits that are not taken allocate nothing. */
+internal typealias EditVisitor =
+    (expert: Int, leaves: Boolean, to: Int, other: Int, returns: Boolean) -> Unit
+
 /**
- * Returns the edits that take load off [PlacementDraft.slowestRank].
+ * Visits the edits that take load off rank [from].
  *
- * @param isBarred whether a copy may not be added
+ * @param barred copies that may not be added, by rank and expert
  */
-internal fun editsOf(
+internal fun visitEdits(
     draft: PlacementDraft,
     options: PlacementOptions,
-    isBarred: (rank: Int, expert: Int) -> Boolean,
-): List<PlacementEdit> {
-    val slowest = draft.slowestRank
-    val fastest = draft.fastestRanks(options.receivingRanks)
-    val edits = mutableListOf<PlacementEdit>()
-    for (expert in 0 until draft.expertCount) {
-        if (!draft.holds(slowest, expert)) continue
-        val leave = CopyEdit(slowest, expert, isAdded = false)
-        if (draft.isReplicated(expert)) edits += PlacementEdit(leave)
-        val open = fastest.filter {
-            it != slowest && !draft.holds(it, expert) && !isBarred(it, expert)
-        }
-        open.forEach { rank ->
-            val arrive = CopyEdit(rank, expert, isAdded = true)
-            edits += when {
-                !draft.hasFreeSlot(rank) ->
-                    exchanges(draft, options, leave, arrive) { isBarred(slowest, it) }
-                options.allowReplicas ->
-                    listOf(PlacementEdit(leave, arrive), PlacementEdit(arrive))
-                else -> listOf(PlacementEdit(leave, arrive))
-            }
+    from: Int,
+    barred: Array<BooleanArray>,
+    visit: EditVisitor,
+) {
+    for (expert in draft.expertsOn(from)) {
+        if (draft.isReplicated(expert)) visit(expert, true, NONE, NONE, false)
+        for (to in 0 until draft.rankCount) {
+            val mayReceive = to != from && !draft.holds(to, expert) && !barred[to][expert]
+            if (mayReceive) visitReceiver(draft, options, from, expert, to, barred, visit)
         }
     }
-    return edits
 }
 
-private fun exchanges(
+private fun visitReceiver(
     draft: PlacementDraft,
     options: PlacementOptions,
-    leave: CopyEdit,
-    arrive: CopyEdit,
-    isBarred: (expert: Int) -> Boolean,
-): List<PlacementEdit> = buildList {
-    val share = draft.shareOfCopy(leave.expert)
-    for (other in 0 until draft.expertCount) {
-        if (!draft.holds(arrive.rank, other)) continue
-        val makeRoom = CopyEdit(arrive.rank, other, isAdded = false)
+    from: Int,
+    expert: Int,
+    to: Int,
+    barred: Array<BooleanArray>,
+    visit: EditVisitor,
+) {
+    if (draft.hasFreeSlot(to)) {
+        visit(expert, true, to, NONE, false)
+        if (options.allowReplicas) visit(expert, false, to, NONE, false)
+    } else {
+        visitExchanges(draft, options, from, expert, to, barred, visit)
+    }
+}
+
+private fun visitExchanges(
+    draft: PlacementDraft,
+    options: PlacementOptions,
+    from: Int,
+    expert: Int,
+    to: Int,
+    barred: Array<BooleanArray>,
+    visit: EditVisitor,
+) {
+    val share = draft.shareOfCopy(expert)
+    for (other in draft.expertsOn(to)) {
         if (draft.isReplicated(other)) {
-            add(PlacementEdit(makeRoom, leave, arrive))
-            if (options.allowReplicas) add(PlacementEdit(makeRoom, arrive))
+            visit(expert, true, to, other, false)
+            if (options.allowReplicas) visit(expert, false, to, other, false)
         }
         val isLighter = draft.shareOfCopy(other) < share
-        val mayComeBack = !draft.holds(leave.rank, other) && !isBarred(other)
-        if (options.allowSwaps && isLighter && mayComeBack) {
-            val comeBack = CopyEdit(leave.rank, other, isAdded = true)
-            add(PlacementEdit(leave, makeRoom, arrive, comeBack))
-        }
+        val mayReturn = isLighter && !draft.holds(from, other) && !barred[from][other]
+        if (options.allowSwaps && mayReturn) visit(expert, true, to, other, true)
     }
 }
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
@@ -9,7 +9,6 @@
  * @property movesPerProposal moved experts of one change at most
  * @property coolDownMilliseconds time between two changes
  * @property periodMilliseconds period of the move budget; a removed copy stays away as long
- * @property receivingRanks fastest ranks that are tried as the new place of a copy
  * @property allowSwaps whether two copies may change places
  * @property allowReplicas whether an expert may have several copies
  */
@@ -20,7 +19,6 @@
     val movesPerProposal: Int = 16,
     val coolDownMilliseconds: Long = 120_000,
     val periodMilliseconds: Long = 1_800_000,
-    val receivingRanks: Int = 8,
     val allowSwaps: Boolean = true,
     val allowReplicas: Boolean = true,
 ) {
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
@@ -3,8 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import org.vanilladale.schema.ExpertId
-import org.vanilladale.schema.Rank
 
 private const val LEAST_POTENTIAL_DROP = 1e-9
 
@@ -14,7 +12,7 @@
  * worth its moves. Keeps no state between calls.
  */
 public class PlacementPlanner(private val options: PlacementOptions = PlacementOptions()) {
-    private class Stage(val map: ExpertMap, val skew: Double, val cost: Double)
+    private class Stage(val map: ExpertMap, val skew: Double)
 
     /** Decides on a new map; this is the [PlacementPolicy] of the programs. */
     public fun plan(input: PlacementInput): Either<PlacementStay, PlacementProposal> {
@@ -24,8 +22,7 @@
         if (coolDown != null && !coolDown.hasPassed(input.now)) {
             return PlacementStay.CoolingDown(coolDown).left()
         }
-        val draft =
-            PlacementDraft(state.map, input.popularity.shares().toDoubleArray(), input.speed)
+        val draft = draftOf(input)
         val skewBefore = draft.skew
         if (skewBefore <= 1 + options.tolerance) return PlacementStay.Balanced(skewBefore).left()
         val left = state.budget.left(input.now)
@@ -48,44 +45,59 @@
 
     private fun bestStage(input: PlacementInput, draft: PlacementDraft, limit: Int): Stage? {
         val cost = PlacementCost(input.skewWeight, options.skewOfMove)
-        var best: Stage? = null
+        val barred = barredCopies(input)
+        val edits = mutableListOf<PlacementEdit>()
+        var bestCount = 0
+        var bestSkew = draft.skew
         var bestCost = cost.of(draft.skew, 0)
         while (draft.skew > 1 + options.tolerance) {
-            bestEditOrNull(input, draft, limit)?.apply(draft) ?: break
-            draft.recompute()
+            val edit = bestEditOrNull(draft, barred, limit - draft.loadCount) ?: break
+            edit.apply(draft)
+            edits += edit
             val reached = cost.of(draft.skew, draft.loadCount)
             if (reached < bestCost) {
                 bestCost = reached
-                best = Stage(draft.toMap(), draft.skew, reached)
+                bestCount = edits.size
+                bestSkew = draft.skew
             }
         }
-        return best
+        if (bestCount == 0) return null
+        val stage = draftOf(input)
+        edits.take(bestCount).forEach { it.apply(stage) }
+        return Stage(stage.toMap(), bestSkew)
     }
 
+    private fun draftOf(input: PlacementInput) =
+        PlacementDraft(input.state.map, input.popularity.shares().toDoubleArray(), input.speed)
+
     private fun bestEditOrNull(
-        input: PlacementInput,
         draft: PlacementDraft,
-        limit: Int,
+        barred: Array<BooleanArray>,
+        loadsLeft: Int,
     ): PlacementEdit? {
-        val before = draft.potential
-        val loadsBefore = draft.loadCount
+        val from = draft.slowestRank
         var best: PlacementEdit? = null
         var bestRate = LEAST_POTENTIAL_DROP
-        for (edit in editsOf(draft, options) { rank, expert -> isBarred(input, rank, expert) }) {
-            edit.apply(draft)
-            val loads = draft.loadCount - loadsBefore
-            val rate = (before - draft.potential) / loads.coerceAtLeast(1)
-            if (draft.loadCount <= limit && rate > bestRate) {
-                bestRate = rate
-                best = edit
+        visitEdits(draft, options, from, barred) { expert, leaves, to, other, returns ->
+            val loads = draft.loadsOf(expert, from, leaves, to, other, returns)
+            if (loads <= loadsLeft) {
+                val drop = -draft.potentialChangeOf(expert, from, leaves, to, other, returns)
+                val rate = drop / loads.coerceAtLeast(1)
+                if (rate > bestRate) {
+                    bestRate = rate
+                    best = PlacementEdit(expert, from, leaves, to, other, returns)
+                }
             }
-            edit.undo(draft)
         }
         return best
     }
 
-    private fun isBarred(input: PlacementInput, rank: Int, expert: Int): Boolean {
-        val until = input.state.barred[ExpertCopy(ExpertId(expert), Rank(rank))] ?: return false
-        return !until.hasPassed(input.now)
+    private fun barredCopies(input: PlacementInput): Array<BooleanArray> {
+        val map = input.state.map
+        val barred = Array(map.rankCount) { BooleanArray(map.expertCount) }
+        input.state.barred.filterValues { !it.hasPassed(input.now) }.keys.forEach {
+            barred[it.rank.value][it.expert.value] = true
+        }
+        return barred
     }
 }
