Chain two edits, halve the hysteresis and remove shift detection

Budget and cool-down were not the cause.

Change: EditSearch tries 64 edits that raise the potential least, each with the best edit of the rank that is slowest after it. Hysteresis is 0.01.

--- a/bench/src/test/kotlin/org/vanilladale/bench/HelpersTest.kt
+++ b/bench/src/test/kotlin/org/vanilladale/bench/HelpersTest.kt
@@ -42,4 +42,14 @@
             expectThat(directory.resolve(name).fileSize()).isGreaterThan(0)
         }
     }
+
+    @Test
+    fun `a fit finds the factors of its terms and states its error`() {
+        val exact = listOf(1.0, 2.0, 8.0).map { listOf(1.0, it) to 3.0 + it / 2 }
+        val fit = relativeFit(exact)
+        expectThat(fit.at(listOf(1.0, 4.0))).isGreaterThan(4.999).isLessThan(5.001)
+        expectThat(fit.largestError).isLessThan(1e-9)
+        val bent = relativeFit(exact + (listOf(1.0, 4.0) to 10.0))
+        expectThat(bent.largestError).isGreaterThan(0.1)
+    }
 }
--- a/core/src/main/kotlin/org/vanilladale/core/placement/ExpertPopularity.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/ExpertPopularity.kt
@@ -1,41 +1,29 @@
 package org.vanilladale.core.placement
 
-import kotlin.math.abs
 import kotlin.math.exp
 import org.vanilladale.schema.ExpertId
 import org.vanilladale.schema.Timestamp
 
 /**
- * Smoothed share of tokens of each expert, on two time scales.
+ * Smoothed share of tokens of each expert.
  *
- * The slow scale follows drift and averages out noise. When the fast scale differs from it by more
- * than the shift distance, popularity has shifted suddenly and the slow scale is out of date.
  * Immutable; every observation returns a new value.
  */
 public class ExpertPopularity private constructor(
-    private val fast: DoubleArray,
-    private val slow: DoubleArray,
+    private val smoothed: DoubleArray,
     private val observedAt: Timestamp?,
     private val options: PopularityOptions,
 ) {
-    public val expertCount: Int get() = slow.size
-
-    /** Half of the summed differences of the shares of both scales, from 0 to 1. */
-    public val shiftDistance: Double
-        get() = slow.indices.sumOf { abs(fast[it] - slow[it]) } / 2
-
-    /** True while the fast scale differs from the slow one by more than drift does. */
-    public val isShifted: Boolean get() = shiftDistance > options.shiftDistance
+    public val expertCount: Int get() = smoothed.size
 
     /** True once at least one report has been observed. */
     public val isObserved: Boolean get() = observedAt != null
 
     /** Returns the share of [expert] to plan with; the shares of all experts sum to 1. */
-    public fun shareOf(expert: ExpertId): Double =
-        if (isShifted) fast[expert.value] else slow[expert.value]
+    public fun shareOf(expert: ExpertId): Double = smoothed[expert.value]
 
     /** Returns all shares by expert index. */
-    public fun shares(): List<Double> = (if (isShifted) fast else slow).toList()
+    public fun shares(): List<Double> = smoothed.toList()
 
     /**
      * Takes in the [tokens] of each expert counted up to [at].
@@ -49,13 +37,9 @@
         val valid = tokens.size == expertCount && sum > 0 && tokens.all { it >= 0 }
         if (!valid || (elapsed != null && elapsed <= 0)) return this
         val observed = DoubleArray(tokens.size) { tokens[it] / sum }
-        if (elapsed == null) return ExpertPopularity(observed, observed, at, options)
-        return ExpertPopularity(
-            smooth(fast, observed, elapsed, options.fastMilliseconds),
-            smooth(slow, observed, elapsed, options.slowMilliseconds),
-            at,
-            options,
-        )
+        if (elapsed == null) return ExpertPopularity(observed, at, options)
+        val scale = options.scaleMilliseconds
+        return ExpertPopularity(smooth(smoothed, observed, elapsed, scale), at, options)
     }
 
     public companion object {
@@ -66,7 +50,7 @@
         ): ExpertPopularity {
             require(expertCount > 0) { "expertCount must be positive; found $expertCount" }
             val shares = DoubleArray(expertCount) { 1.0 / expertCount }
-            return ExpertPopularity(shares, shares, null, options)
+            return ExpertPopularity(shares, null, options)
         }
     }
 }
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementEdit.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementEdit.kt
@@ -28,6 +28,14 @@
         if (returns) draft.add(from, other)
         draft.recompute()
     }
+
+    fun undo(draft: PlacementDraft) {
+        if (returns) draft.remove(from, other)
+        if (to != NONE) draft.remove(to, expert)
+        if (leaves) draft.add(from, expert)
+        if (other != NONE) draft.add(to, other)
+        draft.recompute()
+    }
 }
 
 /** Receives the parts of an edit, so that the edits that are not taken allocate nothing. */
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
@@ -9,16 +9,18 @@
  * @property movesPerProposal moved experts of one change at most
  * @property coolDownMilliseconds time between two changes
  * @property periodMilliseconds period of the move budget; a removed copy stays away as long
+ * @property chainStarts edits tried with a second one when no single one lowers the predicted times
  * @property allowSwaps whether two copies may change places
  * @property allowReplicas whether an expert may have several copies
  */
 public data class PlacementOptions(
     val tolerance: Double = 0.02,
-    val hysteresis: Double = 0.02,
+    val hysteresis: Double = 0.01,
     val skewOfMove: Double = 0.0005,
     val movesPerProposal: Int = 16,
     val coolDownMilliseconds: Long = 120_000,
     val periodMilliseconds: Long = 1_800_000,
+    val chainStarts: Int = 64,
     val allowSwaps: Boolean = true,
     val allowReplicas: Boolean = true,
 ) {
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
@@ -4,11 +4,9 @@
 import arrow.core.left
 import arrow.core.right
 
-private const val LEAST_POTENTIAL_DROP = 1e-9
-
 /**
- * Improves the current map step by step: each step takes the edit of the slowest rank that lowers
- * the predicted times most for its loads, and the best stage reached is proposed if its gain is
+ * Improves the current map step by step: each step takes the edits of the slowest rank that lower
+ * the predicted times most for their loads, and the best stage reached is proposed if its gain is
  * worth its moves. Keeps no state between calls.
  */
 public class PlacementPlanner(private val options: PlacementOptions = PlacementOptions()) {
@@ -45,15 +43,16 @@
 
     private fun bestStage(input: PlacementInput, draft: PlacementDraft, limit: Int): Stage? {
         val cost = PlacementCost(input.skewWeight, options.skewOfMove)
-        val barred = barredCopies(input)
+        val search = EditSearch(draft, options, barredCopies(input), limit)
         val edits = mutableListOf<PlacementEdit>()
         var bestCount = 0
         var bestSkew = draft.skew
         var bestCost = cost.of(draft.skew, 0)
         while (draft.skew > 1 + options.tolerance) {
-            val edit = bestEditOrNull(draft, barred, limit - draft.loadCount) ?: break
-            edit.apply(draft)
-            edits += edit
+            val found = search.bestEdits()
+            if (found.isEmpty()) break
+            found.forEach { it.apply(draft) }
+            edits += found
             val reached = cost.of(draft.skew, draft.loadCount)
             if (reached < bestCost) {
                 bestCost = reached
@@ -70,28 +69,6 @@
     private fun draftOf(input: PlacementInput) =
         PlacementDraft(input.state.map, input.popularity.shares().toDoubleArray(), input.speed)
 
-    private fun bestEditOrNull(
-        draft: PlacementDraft,
-        barred: Array<BooleanArray>,
-        loadsLeft: Int,
-    ): PlacementEdit? {
-        val from = draft.slowestRank
-        var best: PlacementEdit? = null
-        var bestRate = LEAST_POTENTIAL_DROP
-        visitEdits(draft, options, from, barred) { expert, leaves, to, other, returns ->
-            val loads = draft.loadsOf(expert, from, leaves, to, other, returns)
-            if (loads <= loadsLeft) {
-                val drop = -draft.potentialChangeOf(expert, from, leaves, to, other, returns)
-                val rate = drop / loads.coerceAtLeast(1)
-                if (rate > bestRate) {
-                    bestRate = rate
-                    best = PlacementEdit(expert, from, leaves, to, other, returns)
-                }
-            }
-        }
-        return best
-    }
-
     private fun barredCopies(input: PlacementInput): Array<BooleanArray> {
         val map = input.state.map
         val barred = Array(map.rankCount) { BooleanArray(map.expertCount) }
