--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
@@ -3,18 +3,14 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import org.vanilladale.schema.ExpertId
-import org.vanilladale.schema.Rank
-
-private const val LEAST_POTENTIAL_DROP = 1e-9
 
 /**
- * Improves the current map step by step: each step takes the edit of the slowest rank that lowers
- * the predicted times most for its loads, and the best stage reached is proposed if its gain is
+ * Improves the current map step by step: each step takes the edits of the slowest rank that lower
+ * the predicted times most for their loads, and the best stage reached is proposed if its gain is
  * worth its moves. Keeps no state between calls.
  */
 public class PlacementPlanner(private val options: PlacementOptions = PlacementOptions()) {
-    private class Stage(val map: ExpertMap, val skew: Double, val cost: Double)
+    private class Stage(val map: ExpertMap, val skew: Double)
 
     /** Decides on a new map; this is the [PlacementPolicy] of the programs. */
     public fun plan(input: PlacementInput): Either<PlacementStay, PlacementProposal> {
@@ -24,8 +20,7 @@
         if (coolDown != null && !coolDown.hasPassed(input.now)) {
             return PlacementStay.CoolingDown(coolDown).left()
         }
-        val draft =
-            PlacementDraft(state.map, input.popularity.shares().toDoubleArray(), input.speed)
+        val draft = draftOf(input)
         val skewBefore = draft.skew
         if (skewBefore <= 1 + options.tolerance) return PlacementStay.Balanced(skewBefore).left()
         val left = state.budget.left(input.now)
@@ -48,44 +43,38 @@
 
     private fun bestStage(input: PlacementInput, draft: PlacementDraft, limit: Int): Stage? {
         val cost = PlacementCost(input.skewWeight, options.skewOfMove)
-        var best: Stage? = null
+        val search = EditSearch(draft, options, barredCopies(input), limit)
+        val edits = mutableListOf<PlacementEdit>()
+        var bestCount = 0
+        var bestSkew = draft.skew
         var bestCost = cost.of(draft.skew, 0)
         while (draft.skew > 1 + options.tolerance) {
-            bestEditOrNull(input, draft, limit)?.apply(draft) ?: break
-            draft.recompute()
+            val found = search.bestEdits()
+            if (found.isEmpty()) break
+            found.forEach { it.apply(draft) }
+            edits += found
             val reached = cost.of(draft.skew, draft.loadCount)
             if (reached < bestCost) {
                 bestCost = reached
-                best = Stage(draft.toMap(), draft.skew, reached)
+                bestCount = edits.size
+                bestSkew = draft.skew
             }
         }
-        return best
+        if (bestCount == 0) return null
+        val stage = draftOf(input)
+        edits.take(bestCount).forEach { it.apply(stage) }
+        return Stage(stage.toMap(), bestSkew)
     }
 
-    private fun bestEditOrNull(
-        input: PlacementInput,
-        draft: PlacementDraft,
-        limit: Int,
-    ): PlacementEdit? {
-        val before = draft.potential
-        val loadsBefore = draft.loadCount
-        var best: PlacementEdit? = null
-        var bestRate = LEAST_POTENTIAL_DROP
-        for (edit in editsOf(draft, options) { rank, expert -> isBarred(input, rank, expert) }) {
-            edit.apply(draft)
-            val loads = draft.loadCount - loadsBefore
-            val rate = (before - draft.potential) / loads.coerceAtLeast(1)
-            if (draft.loadCount <= limit && rate > bestRate) {
-                bestRate = rate
-                best = edit
-            }
-            edit.undo(draft)
-        }
-        return best
-    }
+    private fun draftOf(input: PlacementInput) =
+        PlacementDraft(input.state.map, input.popularity.shares().toDoubleArray(), input.speed)
 
-    private fun isBarred(input: PlacementInput, rank: Int, expert: Int): Boolean {
-        val until = input.state.barred[ExpertCopy(ExpertId(expert), Rank(rank))] ?: return false
-        return !until.hasPassed(input.now)
+    private fun barredCopies(input: PlacementInput): Array<BooleanArray> {
+        val map = input.state.map
+        val barred = Array(map.rankCount) { BooleanArray(map.expertCount) }
+        input.state.barred.filterValues { !it.hasPassed(input.now) }.keys.forEach {
+            barred[it.rank.value][it.expert.value] = true
+        }
+        return barred
     }
 }
