Try pairs of placement edits only above a skew of 1.05

Cause: the search of pairs ran at every plan that no single edit improved; one decision at 32 ranks and 256 experts took up to 54 ms, and a group has tens of layers. Ruled out: removing pairs; without them 32 x 64 misses the goal of 1.10. Change: pairs only while the predicted skew is above 1.05; the agent uses the one time scale of the new popularity.

--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/ExpertPlan.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/ExpertPlan.kt
@@ -27,8 +27,7 @@
         allowReplicas = false,
     )
     private val popularityOptions = PopularityOptions(
-        fastMilliseconds = settings.popularityMilliseconds,
-        slowMilliseconds = SLOW_SCALE * settings.popularityMilliseconds,
+        scaleMilliseconds = settings.popularityMilliseconds,
     )
     private val planner = PlacementPlanner(options)
     private var speed = RankSpeed.even(
@@ -73,7 +72,6 @@
     }
 
     companion object {
-        private const val SLOW_SCALE = 10
 
         /** Returns the rank of each expert of a map with one copy each. */
         fun placementOf(map: ExpertMap): List<Rank> =
--- a/core/src/main/kotlin/org/vanilladale/core/placement/EditSearch.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/EditSearch.kt
@@ -30,6 +30,7 @@
         val loads = draft.loadCount
         val single = bestEditOrNull(potential, loads, LEAST_POTENTIAL_DROP)
         if (single != null) return listOf(single.edit)
+        if (draft.skew <= options.chainSkew) return emptyList()
         var best = emptyList<PlacementEdit>()
         var bestRate = LEAST_POTENTIAL_DROP
         for (first in leastRises(options.chainStarts)) {
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
@@ -10,6 +10,8 @@
  * @property coolDownMilliseconds time between two changes
  * @property periodMilliseconds period of the move budget; a removed copy stays away as long
  * @property chainStarts edits tried with a second one when no single one lowers the predicted times
+ * @property chainSkew predicted skew up to which no second edit is tried: the search of pairs costs
+ * several times that of single edits, and a small rest of skew isn't worth it at each plan
  * @property allowSwaps whether two copies may change places
  * @property allowReplicas whether an expert may have several copies
  */
@@ -21,6 +23,7 @@
     val coolDownMilliseconds: Long = 120_000,
     val periodMilliseconds: Long = 1_800_000,
     val chainStarts: Int = 64,
+    val chainSkew: Double = 1.05,
     val allowSwaps: Boolean = true,
     val allowReplicas: Boolean = true,
 ) {
