--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
@@ -92,7 +92,6 @@
         RunState.NO,
         "Wait until requests of this workspace have completed.",
     ),
-    ENTRY_OVERLOADED("entry-overloaded", 503, RunState.NO, "Retry at another entry."),
     TARGET_OVERLOADED("target-overloaded", 503, RunState.NO, "Retry after the given time."),
     RETRY_BUDGET_EMPTY(
         "retry-budget-empty",
--- a/core/src/test/kotlin/org/vanilladale/core/settings/SettingsRulesTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/settings/SettingsRulesTest.kt
@@ -47,7 +47,7 @@
             """"silenceMilliseconds": 1999""" to "silenceMilliseconds",
             """"heartbeatMilliseconds": 9223372036854775807""" to "silenceMilliseconds",
             """"drainMilliseconds": 0""" to "drainMilliseconds",
-            """"capacity": 0""" to "capacity",
+            """"peersMilliseconds": 0""" to "peersMilliseconds",
             """"firstAnswerMilliseconds": 0""" to "firstAnswerMilliseconds",
             """"progressMilliseconds": 0""" to "progressMilliseconds",
             """"peers": ["10.0.0.1:2"]""" to "peerAddress",
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/RankGroupFleet.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/RankGroupFleet.kt
@@ -31,7 +31,7 @@
             "checksFencing": ${!ignoreFencing}, "skewWeight": 0.9, "targets": [$targets]}]"""
         fleet.startConfiguration(routes, pools)
         groups.forEach { startGroup(it) }
-        fleet.startEntry("entry-0", fields = """, "heartbeatMilliseconds": 300""")
+        fleet.startEntry("entry-0", fields = """"heartbeatMilliseconds": 300""")
         fleet.await("the first draft") { draft("warm-up").statusCode() == 200 }
     }
 
@@ -145,7 +145,7 @@
         val ranks = 0..3
         const val LEASE_MILLISECONDS = 1_000L
         private const val STREAMS = 6
-        private const val AGENT_FIELDS = """, "heartbeatMilliseconds": 300,
+        private const val AGENT_FIELDS = """"heartbeatMilliseconds": 300,
             "silenceMilliseconds": 1500, "longestLeaseMilliseconds": 1500,
             "rankLeaseMilliseconds": $LEASE_MILLISECONDS, "planMilliseconds": 300,
             "planCoolDownMilliseconds": 400, "movePeriodMilliseconds": 2000,
--- a/transport/src/test/kotlin/org/vanilladale/transport/FrameCodecTest.kt
+++ b/transport/src/test/kotlin/org/vanilladale/transport/FrameCodecTest.kt
@@ -22,6 +22,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 
 /** Guards against frames that bring the reader down instead of closing one connection. */
 class FrameCodecTest {
@@ -53,6 +54,21 @@
         }
     }
 
+    /** Guards the control traffic: a field with a long name in each heartbeat would exceed it. */
+    @Test
+    fun `a heartbeat stays small`() {
+        val now = Timestamp.fromEpochMilliseconds(1_796_000_000_000)
+        val load = Load(8, 32, 8, reportedAt = now, serviceMicroseconds = 800_000)
+        val sizes = mapOf(
+            "entry to agent" to FrameCodec.encode(Heartbeat(now)).size + Int.SIZE_BYTES,
+            "agent to entry" to FrameCodec.encode(
+                Heartbeat(now, load = load),
+            ).size + Int.SIZE_BYTES,
+        )
+        println("heartbeat bytes with length and checksum: $sizes")
+        expectThat(sizes.values.max()).isLessThan(128)
+    }
+
     @Test
     fun `every truncated frame is a fault`() {
         samples.map { FrameCodec.encode(it) }.forEach { bytes ->
