--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/LeavingAgentTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/LeavingAgentTest.kt
@@ -55,8 +55,10 @@
         listOf(0, 1).forEach {
             fleet.startEngine("drafting-$it", "--tokens=200", "--step-milliseconds=30")
         }
-        val peers = listOf(0, 1).joinToString { "\"${fleet.address("peer-entry-$it")}\"" }
-        listOf(0, 1).forEach { fleet.startEntry("entry-$it", fields = "\"peers\": [$peers]") }
+        listOf(0, 1).forEach {
+            val peer = fleet.address("peer-entry-${1 - it}")
+            fleet.startEntry("entry-$it", fields = "\"peers\": [\"$peer\"]")
+        }
         fleet.await("both agents connected to both entries") {
             listOf(0, 1).all { agent ->
                 fleet.statusOrNull("agent-operator-drafting-$agent")
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/SpreadFleet.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/SpreadFleet.kt
@@ -24,7 +24,7 @@
 
     /** Starts a process on ports of its own for the VM [vm]. */
     fun startEntry(name: String, vm: String = name) {
-        val peers = entries.joinToString { "\"${fleet.address("peer-$it")}\"" }
+        val peers = (entries - name).joinToString { "\"${fleet.address("peer-$it")}\"" }
         val fields = "\"peers\": [$peers], \"vm\": \"$vm\""
         fleet.startEntry(name, "lodz-${vm.last()}", fields)
     }
