Count answers until they are written and flush agents' last frames at a stop

Cause: a planned stop looked at admitted requests, which end before the last chunk of the answer is written, and an agent closed its sockets while end marks could still be queued. Ruled out: a fixed wait after the drain; it hides the race on a slow VM. Change: the entry counts requests until their answer is written; the agent closes its connections after their queues and then ends.

--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -8,7 +8,9 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import org.tinylog.kotlin.Logger
 import org.vanilladale.agent.rankgroup.GroupAgent
@@ -115,9 +117,18 @@
     /** Takes no new work, waits for the attempts in flight and ends. */
     public suspend fun leave() {
         plannedStop.run()
+        closeSessions()
         stop()
     }
 
+    /** The last frames of ended attempts are written before the connections close. */
+    private suspend fun closeSessions() {
+        sessions.forEach { it.close() }
+        withTimeoutOrNull(CLOSE_MILLISECONDS) {
+            while (sessions.isNotEmpty()) delay(POLL_MILLISECONDS)
+        }
+    }
+
     /** Ends at once. */
     public fun stop() {
         scope.cancel()
@@ -190,4 +201,10 @@
         )
         return Json.encodeToString(AgentReport.serializer(), report)
     }
+
+    private companion object {
+        /** Bounds the wait for a peer that reads nothing. */
+        const val CLOSE_MILLISECONDS = 1_000L
+        const val POLL_MILLISECONDS = 10L
+    }
 }
--- a/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
@@ -32,6 +32,11 @@
         connection.trySend(frame)
     }
 
+    /** Ends the connection after the frames that are queued. */
+    fun close() {
+        connection.close()
+    }
+
     /** Handles one frame; returns false for a type that this session does not know. */
     fun onFrame(frame: Frame): Boolean = when (frame) {
         is Submit -> {
--- a/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
@@ -10,6 +10,7 @@
 import io.vertx.ext.web.Router
 import io.vertx.ext.web.RoutingContext
 import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
@@ -34,6 +35,11 @@
     private val bind: (CallerRequestHead) -> Either<Refusal, BindingAnswer>,
     private val run: suspend (CallerRequest, AnswerSink) -> Refusal?,
 ) {
+    private val answering = AtomicInteger()
+
+    /** Requests whose answer or refusal is not written to its end. */
+    val inFlight: Int get() = answering.get()
+
     /** Listens on the caller address of the settings. */
     suspend fun start(): HttpServer {
         val router = Router.router(vertx)
@@ -97,12 +103,14 @@
 
     private fun start(context: RoutingContext, request: CallerRequest) {
         val sink = HttpAnswerSink(context.response())
+        answering.incrementAndGet()
         val job = scope.launch {
             runCatchingIo {
                 val refusal = run(request, sink)
                 if (refusal == null) sink.end() else logAndRefuse(request, sink, refusal)
             }
         }
+        job.invokeOnCompletion { answering.decrementAndGet() }
         context.response().closeHandler { job.cancel() }
     }
 
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -120,11 +120,20 @@
         ::systemNow,
     )
 
-    private val plannedStop = PlannedStop(
+    private val endpoint: CallerEndpoint = CallerEndpoint(
+        vertx,
+        scope,
+        settings,
+        counters,
+        peers.membership::listFor,
+        ::bind,
+        ::serve,
+    )
+    private val plannedStop: PlannedStop = PlannedStop(
         settings.vm,
         settings.drainMilliseconds,
         ::systemNow,
-        runner::inFlight,
+        endpoint::inFlight,
         ::announce,
     )
     private val targetReports = TargetReports(fleet, links, router)
@@ -148,15 +157,7 @@
         spread.start()
         peers.start()
         scope.launch { suspects.forgetExpiredForever() }
-        CallerEndpoint(
-            vertx,
-            scope,
-            settings,
-            counters,
-            peers.membership::listFor,
-            ::bind,
-            ::serve,
-        ).start()
+        endpoint.start()
         Logger.info { "entry: ${settings.vm} listens on ${settings.callerAddress}" }
     }
 
@@ -263,5 +264,5 @@
     }
 
     private fun statusText(): String =
-        statusPage.text(runner.inFlight, plannedStop.leavingOrNull != null)
+        statusPage.text(endpoint.inFlight, plannedStop.leavingOrNull != null)
 }
