Report an unconnected target that failed a new dial as unavailable

Cause: the merge of two status pages showed every target without a connection as 'unconnected', so an operator could not tell a lost connection from a suspected target. Ruled out: changing the test's expectation; the router's state is the better answer.

--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetReports.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetReports.kt
@@ -14,10 +14,14 @@
     /** Returns the state of [target] in [pool]. */
     fun describe(pool: Pool, target: PoolTarget): TargetReport {
         val connected = links.linkOrNull(target.target)?.connection != null
+        val routed = router.describe(pool.name, target).copy(connected = connected)
         return when {
-            target.target !in fleet.targetsOf(pool.name) -> report(target, connected, "unused")
-            !connected -> report(target, connected = false, "unconnected")
-            else -> router.describe(pool.name, target)
+            target.target !in fleet.targetsOf(pool.name) -> routed.copy(state = UNUSED, load = null)
+
+            // A target that is marked unavailable did not answer a new dial either.
+            !connected && routed.state != UNAVAILABLE -> routed.copy(state = UNCONNECTED)
+
+            else -> routed
         }
     }
 
@@ -25,6 +29,9 @@
     fun describe(pool: Pool): PoolReport =
         PoolReport(pool.name, pool.targets.map { describe(pool, it) })
 
-    private fun report(target: PoolTarget, connected: Boolean, state: String) =
-        TargetReport(target.target, connected, target.dataCentre, state)
+    private companion object {
+        const val UNUSED = "unused"
+        const val UNCONNECTED = "unconnected"
+        const val UNAVAILABLE = "unavailable"
+    }
 }
