Remove dead accessors and share the queue place of an attempt

Cause: the read-through found an accessor that lost its caller when answers became counted at the endpoint, a slow mark reset that nothing called, and one function written twice. Ruled out: one Main.kt for both programs; the two differ in their settings and help. Change: RequestRunner.inFlight and TargetLoadView.clearSlow removed; queuedRequestOf serves AttemptRunner and BoundRunner. Behaviour is the same.

--- a/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
@@ -3,7 +3,6 @@
 import java.security.MessageDigest
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
-import org.vanilladale.core.admission.QueuedRequest
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.schema.Answer
@@ -25,7 +24,7 @@
     suspend fun run(id: AttemptId, submit: Submit, send: suspend (Frame) -> Unit) {
         val refusal = try {
             withTimeout(submit.deadline.millisecondsLeft(clock())) {
-                slots.withSlot(queued(id, submit)) { callTarget(submit, send) }
+                slots.withSlot(queuedRequestOf(id, submit)) { callTarget(submit, send) }
                     .fold({ it }, { it })
             }
         } catch (_: TimeoutCancellationException) {
@@ -78,11 +77,4 @@
         refusal.retryAt,
         slots.load(),
     )
-
-    private fun queued(id: AttemptId, submit: Submit) = QueuedRequest(
-        id,
-        submit.workspace,
-        submit.priority,
-        submit.deadline,
-    )
 }
--- a/agent/src/main/kotlin/org/vanilladale/agent/BoundRunner.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/BoundRunner.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
-import org.vanilladale.core.admission.QueuedRequest
 import org.vanilladale.core.once.BoundKey
 import org.vanilladale.core.once.Ledger
 import org.vanilladale.core.once.SubmitDecision
@@ -111,7 +110,7 @@
         val text = StringBuilder()
         val limit = submit.deadline.millisecondsLeft(clock()) + LATE_OUTCOME_MILLISECONDS
         val result = withTimeoutOrNull(limit) {
-            slots.withSlot(queued(id, submit)) {
+            slots.withSlot(queuedRequestOf(id, submit)) {
                 caller(submit, { mayDispatch(row) }) { text.append(it) }
             }
         }
@@ -158,13 +157,6 @@
         return BoundOutcome.Refused(Refusal(RefusalReason.OUTCOME_UNKNOWN))
     }
 
-    private fun queued(id: AttemptId, submit: Submit) = QueuedRequest(
-        id,
-        submit.workspace,
-        submit.priority,
-        submit.deadline,
-    )
-
     private companion object {
         const val FORGET_MILLISECONDS = 10_000L
         const val ATTACH_MILLISECONDS = 5L
--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/ExpertPlan.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/ExpertPlan.kt
@@ -72,7 +72,6 @@
     }
 
     companion object {
-
         /** Returns the rank of each expert of a map with one copy each. */
         fun placementOf(map: ExpertMap): List<Rank> =
             List(map.expertCount) { map.ranksOf(ExpertId(it)).first() }
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
@@ -86,11 +86,6 @@
         row(target).slowUntil = until
     }
 
-    /** Takes the slow mark back. */
-    public fun clearSlow(target: TargetId) {
-        rows[target]?.slowUntil = null
-    }
-
     /** Gives [target] no work until [until], as after a failed connection. */
     public fun markUnavailable(target: TargetId, until: Deadline) {
         row(target).unavailableUntil = until
--- a/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
@@ -36,9 +36,6 @@
     private val workspaceLimit = WorkspaceLimit(capacity)
     private val hedgedLookup = HedgedLookup(router, counters, clock)
 
-    /** Requests that this entry works on. */
-    val inFlight: Int get() = synchronized(workspaceLimit) { workspaceLimit.inFlight }
-
     /** Runs [request] and writes its answer to [sink]; returns the refusal if there is none. */
     suspend fun run(request: CallerRequest, sink: AnswerSink): Refusal? = either {
         val plan = plan(request).bind()
