--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
@@ -19,7 +19,8 @@
  * `GET /v1/load` returns `{running, waiting, slots}` as it was one lag ago. `GET /health` is 200.
  * `GET /control/streams` returns `{started}`, the number of requests since the start.
  * `PUT /control` with `{stallMilliseconds}` stops all steps for that time; `{crashOn: text}` ends
- * the process when a prompt that contains the text runs.
+ * the process when a prompt that contains the text runs; `{tokens}` sets the tokens of later
+ * answers whose request names no number.
  */
 public class Engine(private val vertx: Vertx, private val settings: Settings) {
     /**
@@ -53,6 +54,9 @@
     private var started = 0
     private var stalledUntil = 0L
     private var crashOn: String? = null
+
+    @Volatile
+    private var defaultTokens = settings.tokens
     private var reported = load()
 
     /** Serves on [port] of the loopback address. */
@@ -88,7 +92,7 @@
         val stream = EngineStream(
             id = id,
             prompt = body.getBinary("prompt"),
-            tokens = body.getInteger("tokens") ?: settings.tokens,
+            tokens = body.getInteger("tokens") ?: defaultTokens,
             priority = body.getInteger("priority") ?: 0,
             next = AnswerTokens.count(body.getString("continue", "")),
             response = response,
@@ -113,6 +117,7 @@
             body.getLong("stallMilliseconds")?.let {
                 stalledUntil = System.currentTimeMillis() + it
             }
+            body.getInteger("tokens")?.let { defaultTokens = it }
             if (body.containsKey("crashOn")) crashOn = body.getString("crashOn")
         }
         context.response().setStatusCode(204).end()
