Separate the compiler's time and warm up by requests in path-slope

Change: the time of the compiler threads is read from the process and left out of the fit; the warm-up ends after a number of requests.

--- a/bench/scripts/path-slope.sh
+++ b/bench/scripts/path-slope.sh
@@ -21,7 +21,7 @@
   if [[ -n "${JARS:-}" ]]; then echo "$JARS/vanilladale-$1.jar"; else echo "$1/target/vanilladale-$1.jar"; fi
 }
 run() { # log name, module, arguments...
-  local name=$1 module=$2 options=(-XX:+UseSerialGC -Xmx128m)
+  local name=$1 module=$2 options=(-XX:+UseSerialGC -Xmx128m -XX:-UseDynamicNumberOfCompilerThreads)
   shift 2
   [[ $module == stand-ins ]] && options=(-XX:+UseParallelGC -Xmx1g)
   [[ -n "${RECORDING:-}" && $module != stand-ins ]] &&
@@ -52,5 +52,5 @@
     -H 'vanilladale-request-key: first' -d x "$(url 5)/v1/requests" || true
   grep -q '"end":true' "$work/first" 2>/dev/null && break
 done
-java -jar bench/target/vanilladale-bench.jar path-slope --engine-url="$(url 2)" \
+java -jar "${BENCH:-bench/target/vanilladale-bench.jar}" path-slope --engine-url="$(url 2)" \
   --entry-url="$(url 5)" --kind=draft --process entry="$entry" --process agent="$agent" "$@"
--- a/bench/src/main/kotlin/org/vanilladale/bench/path/PathLoad.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/path/PathLoad.kt
@@ -4,6 +4,7 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -40,8 +41,7 @@
         atStart: () -> R,
         window: (R, Counts, PathMeasures) -> Unit,
     ) {
-        val executor = Executors.newFixedThreadPool(concurrency)
-        repeat(concurrency) { caller -> executor.execute { callUntilStopped(caller) } }
+        val executor = start()
         sleep(warmUpSeconds)
         measures = PathMeasures()
         val before = counts()
@@ -57,6 +57,23 @@
             ),
             measures,
         )
+        stop(executor)
+    }
+
+    /** Runs the load until [count] requests have ended. */
+    fun runRequests(count: Long) {
+        val executor = start()
+        while (requests.get() + failures.get() < count) sleep(POLL_SECONDS)
+        stop(executor)
+    }
+
+    private fun start(): ExecutorService {
+        val executor = Executors.newFixedThreadPool(concurrency)
+        repeat(concurrency) { caller -> executor.execute { callUntilStopped(caller) } }
+        return executor
+    }
+
+    private fun stop(executor: ExecutorService) {
         stopped = true
         executor.shutdown()
         executor.awaitTermination(GRACE_SECONDS, TimeUnit.SECONDS)
@@ -110,6 +127,7 @@
         const val NUMBERS_PER_SEED = 1_000_000_000L
         const val NANOSECONDS_PER_MICROSECOND = 1_000
         const val MILLISECONDS = 1_000
+        const val POLL_SECONDS = 0.05
         const val GRACE_SECONDS = 60L
         const val HTTP_OK = 200
         const val BUFFER_BYTES = 16_384
--- a/bench/src/main/kotlin/org/vanilladale/bench/path/PathResult.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/path/PathResult.kt
@@ -38,11 +38,17 @@
     }
 }
 
-/** Processor seconds and resident memory of one process over the run. */
+/**
+ * Use of one process over the run.
+ *
+ * @property processorSeconds processor time of all threads
+ * @property compilerSeconds part of it in the JVM's compiler threads
+ */
 @Serializable
 internal data class UsageResult(
     val process: String,
     val processorSeconds: Double,
+    val compilerSeconds: Double,
     val residentMegabytes: Double,
 )
 
--- a/bench/src/main/kotlin/org/vanilladale/bench/path/PathSlope.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/path/PathSlope.kt
@@ -20,7 +20,7 @@
 )
 
 /**
- * Processor time of one process in microseconds, without its idle share.
+ * Processor time of one process in microseconds, without its idle share and its compiler.
  *
  * @property perRequest spread over the seeds
  * @property perToken spread over the seeds
@@ -45,7 +45,8 @@
             val fits = points.groupBy { it.seed }.values.map { ofSeed ->
                 relativeFit(
                     ofSeed.map { point ->
-                        val used = point.usage.first { it.process == process }.processorSeconds
+                        val usage = point.usage.first { it.process == process }
+                        val used = usage.processorSeconds - usage.compilerSeconds
                         val loaded = (used - idleShare * point.seconds) * MICROSECONDS
                         listOf(point.requests.toDouble(), point.tokens.toDouble()) to loaded
                     },
--- a/bench/src/main/kotlin/org/vanilladale/bench/path/PathSlopeCommand.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/path/PathSlopeCommand.kt
@@ -28,8 +28,8 @@
     private val tokens: List<Int> by option(help = "Tokens per request, one load each")
         .int().split(",").default(listOf(16, 64, 256, 1_000))
     private val seconds by option(help = "Length of each window").double().default(DEFAULT_SECONDS)
-    private val firstWarmUpSeconds by option(help = "Load before the first window")
-        .double().default(DEFAULT_SECONDS)
+    private val warmUpRequests by option(help = "Requests before the first window")
+        .long().default(DEFAULT_WARM_UP_REQUESTS)
     private val warmUpSeconds by option(help = "Load before each window").double().default(2.0)
     private val idleSeconds by option(help = "Window without load").double().default(4.0)
     private val concurrency by option(help = "Callers").int().default(DEFAULT_CALLERS)
@@ -48,12 +48,12 @@
     override fun run() {
         val target = entryTarget(entryUrl, kind, workspaces)
         setTokens(tokens.first())
-        PathLoad(target, concurrency, seed = 0).run(firstWarmUpSeconds, 0.0, {}) { _, _, _ -> }
+        PathLoad(target, concurrency, seed = 0).runRequests(warmUpRequests)
         val idle = startUsage()
         Thread.sleep((idleSeconds * MILLISECONDS).toLong())
         val idleShares = idle.associate {
             val result = it.result()
-            result.process to result.processorSeconds / idleSeconds
+            result.process to (result.processorSeconds - result.compilerSeconds) / idleSeconds
         }
         val seeds = seedsFrom(firstSeed, runs)
         val points = seeds.flatMap { seed -> tokens.map { measure(target, seed, it) } }
@@ -103,6 +103,9 @@
     private companion object {
         const val DEFAULT_SECONDS = 10.0
         const val DEFAULT_CALLERS = 16
+
+        /** The compiler has seen each path often enough after some thousand requests. */
+        const val DEFAULT_WARM_UP_REQUESTS = 4_000L
         const val MILLISECONDS = 1_000
 
         /** Keeps the request keys of two loads with the same seed apart. */
