Write digests in hexadecimal without String.format

Cause: String.format for each byte of each digest was 3 % of the samples of entry and agent. Change: HexFormat.

--- a/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
@@ -3,6 +3,7 @@
 import java.security.MessageDigest
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
+import org.vanilladale.core.hash.hexadecimalOf
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.schema.Answer
@@ -49,8 +50,7 @@
             }
         }
         if (outcome == TargetOutcome.Completed) {
-            val hexadecimal = digest.digest().joinToString("") { "%02x".format(it) }
-            val whole = Digest.parse(hexadecimal)
+            val whole = Digest.parse(hexadecimalOf(digest.digest()))
             send(AnswerEnd(submit.request, submit.attempt, position, whole, slots.load()))
         }
         return refusalOf(outcome)
--- a/core/src/main/kotlin/org/vanilladale/core/hash/FieldHash.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/hash/FieldHash.kt
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /**
  * Returns the SHA-256 digest over [fields].
@@ -18,4 +19,4 @@
 }
 
 /** Returns [bytes] in lower-case hexadecimal. */
-public fun hexadecimalOf(bytes: ByteArray): String = bytes.joinToString("") { "%02x".format(it) }
+public fun hexadecimalOf(bytes: ByteArray): String = HexFormat.of().formatHex(bytes)
