Merge answers that wait for a caller

Cause: a caller that was behind got one line and one write for each token, and each frame cost a timer (4 % of samples). Up to 4,096 frames of up to 1 MiB could wait for one caller, and a caller that was too slow had its stream started again on another target. Ruled out: waiting for more tokens; only what waits already is merged, and only answers of one request and attempt whose offsets continue one another. Change: WaitingFrames keeps at most 1,048,576 code units for each attempt; beyond it the answer ends as interrupted instead of a retry. Tests: merging in a table, the bounds, and an attempt that takes nothing beside one that must not wait.

--- a/entry/src/main/kotlin/org/vanilladale/entry/AgentLink.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AgentLink.kt
@@ -3,7 +3,6 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.tinylog.kotlin.Logger
@@ -35,7 +34,7 @@
     private val onPeerFrame: suspend (PeerConnection, Frame) -> Unit,
     private val onSuspicion: (Boolean) -> Unit,
 ) {
-    private val pending = ConcurrentHashMap<RequestId, Events>()
+    private val pending = ConcurrentHashMap<RequestId, AttemptEvents>()
     private var job: Job? = null
 
     @Volatile
@@ -72,14 +71,14 @@
     }
 
     /** Opens the events of an attempt at [request]; [close] ends them. */
-    fun open(request: RequestId): Events {
-        val events = Events(connection)
+    fun open(request: RequestId): AttemptEvents {
+        val events = AttemptEvents(connection)
         pending[request] = events
         return events
     }
 
     /** Forgets the events; later frames for them are dropped and counted. */
-    fun close(request: RequestId, events: Events) {
+    fun close(request: RequestId, events: AttemptEvents) {
         pending.remove(request, events)
     }
 
@@ -129,36 +128,10 @@
         }
     }
 
-    /**
-     * Events of one attempt.
-     *
-     * @property connection connection that the attempt uses; the loss of another one is not its own
-     */
-    class Events(val connection: PeerConnection?) {
-        private val channel = Channel<AttemptEvent>(EVENTS)
-
-        /** Returns the next event, or null when the caller read too slowly. */
-        suspend fun receiveOrNull(): AttemptEvent? = channel.receiveCatching().getOrNull()
-
-        fun received(frame: Frame): Boolean {
-            val stored = channel.trySend(AttemptEvent.Received(frame)).isSuccess
-            if (!stored) channel.close()
-            return stored
-        }
-
-        fun lost(reason: RetryReason) {
-            channel.trySend(AttemptEvent.Lost(reason))
-            channel.close()
-        }
-    }
-
     private companion object {
         /** A restarted agent has its tables and its work back within this time. */
         const val LONGEST_BACKOFF_MILLISECONDS = 2_000L
 
         const val POLL_MILLISECONDS = 50L
-
-        /** Frames that wait for a slow caller. */
-        const val EVENTS = 4096
     }
 }
--- a/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
@@ -54,16 +54,23 @@
     }
 
     private suspend fun receive(
-        events: AgentLink.Events,
+        events: AttemptEvents,
         assembler: AnswerAssembler,
         deliver: suspend (AnswerLine) -> Unit,
     ): AttemptResult {
         var wait = timing.firstAnswerMilliseconds
         while (true) {
-            val event = withTimeoutOrNull(wait) { events.receiveOrNull() }
+            // What waits already needs no timer.
+            val event = events.pollOrNull()
+                ?: withTimeoutOrNull(wait) { events.receive() }
                 ?: return failed(RetryReason.NO_PROGRESS)
             val result = when (event) {
                 is AttemptEvent.Lost -> failed(event.reason)
+
+                // Another target would bring the same text to the same slow caller.
+                AttemptEvent.Overflowed ->
+                    refused(Refusal(RefusalReason.ANSWER_INTERRUPTED, detail = TOO_SLOW))
+
                 is AttemptEvent.Received -> onFrame(event, assembler, deliver)
             }
             if (result != null) return result
@@ -147,4 +154,8 @@
 
     private fun refused(refusal: Refusal) =
         AttemptResult.Failed(AttemptFailure.fromRefusal(refusal))
+
+    private companion object {
+        const val TOO_SLOW = "the caller reads too slowly; resume with the offset that you hold"
+    }
 }
--- a/entry/src/main/kotlin/org/vanilladale/entry/AttemptEvent.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AttemptEvent.kt
@@ -10,4 +10,7 @@
 
     /** The connection ended; the attempt may have run. */
     data class Lost(val reason: RetryReason) : AttemptEvent
+
+    /** The caller read too slowly for the frames that came. */
+    data object Overflowed : AttemptEvent
 }
--- a/entry/src/main/kotlin/org/vanilladale/entry/BoundCall.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/BoundCall.kt
@@ -65,7 +65,7 @@
                 if (events.connection?.send(frame) != true) return@withTimeoutOrNull null
                 var result: R? = null
                 while (result == null) {
-                    val event = events.receiveOrNull() as? AttemptEvent.Received ?: break
+                    val event = events.receive() as? AttemptEvent.Received ?: break
                     result = onFrame(event.frame)
                 }
                 result
