Merge text that waits at the agent and stop a faster engine

Cause: each token changed threads between the engine's event loop and the worker of the attempt, and the lines of an engine that was faster than the way to the entry waited in a channel without limit. Change: the call runs on the event loop of the engine's connections, waiting text goes into one frame, and above 65,536 code units the engine's connection is stopped until the text is taken. Tests: an engine with 64 MB of text is stopped before half of it was written and the text is whole; a caller that disconnects ends its request at the engine.

--- a/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
@@ -10,7 +10,8 @@
 import io.vertx.core.json.JsonObject
 import io.vertx.core.parsetools.RecordParser
 import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.channels.Channel
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.withContext
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.Submit
@@ -19,36 +20,35 @@
 public class ModelEngineCaller(vertx: Vertx, private val engineUrl: String, connections: Int) {
     private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(connections))
 
+    // All connections to the engine and the coroutines that read them share one event loop, so that
+    // a token needs no change of threads.
+    private val eventLoop = vertx.dispatcher()
+
     /** The function that the agent calls. */
     public val caller: TargetCaller = ::call
 
-    private sealed interface Line {
-        class Text(val json: JsonObject) : Line
-
-        class Status(val code: Int) : Line
-
-        data object End : Line
-
-        class Broken(val detail: String) : Line
-    }
-
     private suspend fun call(
         submit: Submit,
         gate: DispatchGate,
         onText: suspend (String) -> Unit,
+    ): TargetOutcome = withContext(eventLoop) { callOnEventLoop(submit, gate, onText) }
+
+    private suspend fun callOnEventLoop(
+        submit: Submit,
+        gate: DispatchGate,
+        onText: suspend (String) -> Unit,
     ): TargetOutcome {
         val options = RequestOptions()
             .setMethod(HttpMethod.POST)
             .setAbsoluteURI("$engineUrl/v1/generate")
         val request = runCatchingIo { client.request(options).coAwait() }
             ?: return TargetOutcome.Unreachable("no connection to the engine at $engineUrl")
-        val lines = Channel<Line>(Channel.UNLIMITED)
         var finished = false
         try {
-            receiveInto(request, lines)
+            val waiting = receive(request)
             gate()?.let { return TargetOutcome.Withheld(it) }
             request.end(requestBody(submit))
-            val outcome = passOn(lines, onText)
+            val outcome = waiting.passOn(onText)
             finished = outcome is TargetOutcome.Completed
             return outcome
         } finally {
@@ -64,51 +64,38 @@
         .put("prefix", submit.prefix?.text)
         .toBuffer()
 
-    private fun receiveInto(request: HttpClientRequest, lines: Channel<Line>) {
-        request.exceptionHandler { lines.trySend(Line.Broken(it.toString())) }
+    private fun receive(request: HttpClientRequest): WaitingText {
+        var response: HttpClientResponse? = null
+        val waiting = WaitingText(pause = { response?.pause() }, resume = { response?.resume() })
+        request.exceptionHandler { waiting.end(TargetOutcome.Broken(it.toString())) }
         request.response()
-            .onSuccess { response -> receiveLines(response, lines) }
-            .onFailure { lines.trySend(Line.Broken(it.toString())) }
+            .onSuccess {
+                response = it
+                receiveLines(it, waiting)
+            }
+            .onFailure { waiting.end(TargetOutcome.Broken(it.toString())) }
+        return waiting
     }
 
-    private fun receiveLines(response: HttpClientResponse, lines: Channel<Line>) {
-        if (response.statusCode() != HTTP_OK) lines.trySend(Line.Status(response.statusCode()))
-        val parser = RecordParser.newDelimited("\n") { record ->
-            lines.trySend(Line.Text(JsonObject(record)))
+    private fun receiveLines(response: HttpClientResponse, waiting: WaitingText) {
+        val status = response.statusCode()
+        if (status != HTTP_OK) {
+            waiting.end(TargetOutcome.Failed(RefusalReason.TARGET_FAILED, "status $status"))
+            return
         }
-        response.handler(parser)
-        response.endHandler { lines.trySend(Line.End) }
-        response.exceptionHandler { lines.trySend(Line.Broken(it.toString())) }
-    }
-
-    private suspend fun passOn(
-        lines: Channel<Line>,
-        onText: suspend (String) -> Unit,
-    ): TargetOutcome {
         var done = false
-        for (line in lines) {
-            when (line) {
-                is Line.Text -> {
-                    line.json.getString("text")?.let { onText(it) }
-                    done = done || line.json.getBoolean("done", false)
-                }
-
-                is Line.Status ->
-                    return TargetOutcome.Failed(RefusalReason.TARGET_FAILED, "status ${line.code}")
-
-                is Line.Broken -> return TargetOutcome.Broken(line.detail)
-
-                Line.End -> return if (done) {
-                    TargetOutcome.Completed
-                } else {
-                    TargetOutcome.Broken("the engine ended the answer without its end mark")
-                }
-            }
+        val parser = RecordParser.newDelimited("\n") { record ->
+            val line = JsonObject(record)
+            line.getString("text")?.let { waiting.add(it) }
+            done = done || line.getBoolean("done", false)
         }
-        return TargetOutcome.Broken("the answer channel was closed")
+        response.handler(parser)
+        response.endHandler { waiting.end(if (done) TargetOutcome.Completed else NO_END_MARK) }
+        response.exceptionHandler { waiting.end(TargetOutcome.Broken(it.toString())) }
     }
 
     private companion object {
         const val HTTP_OK = 200
+        val NO_END_MARK = TargetOutcome.Broken("the engine ended the answer without its end mark")
     }
 }
