Run a caller's request on the event loop of its connection

Cause: each line changed threads twice, to the event loop and back. Change: the coroutine of the request runs on the event loop, so that a write needs no change. The entry has one event loop for callers, as before; their requests now share it.

--- a/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
@@ -10,6 +10,7 @@
 import io.vertx.ext.web.Router
 import io.vertx.ext.web.RoutingContext
 import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
 import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -104,7 +105,8 @@
     private fun start(context: RoutingContext, request: CallerRequest) {
         val sink = HttpAnswerSink(context.response())
         answering.incrementAndGet()
-        val job = scope.launch {
+        // On the event loop of the caller's connection a line needs no change of threads.
+        val job = scope.launch(vertx.dispatcher()) {
             runCatchingIo {
                 val refusal = run(request, sink)
                 if (refusal == null) sink.end() else logAndRefuse(request, sink, refusal)
