Call plain services on one event loop

Cause: WholePathTest 'each of many look-ups is answered' failed three times of three under load, 2 or 3 of 400 with 504. The handler of the response was added on another thread and could come after the end of the body. Change: the whole call runs on one event loop. The test is unchanged.

--- a/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
@@ -6,6 +6,8 @@
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.withContext
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.Submit
@@ -17,10 +19,19 @@
     /** The function that the agent calls. */
     public val caller: TargetCaller = ::call
 
+    // A handler that is added on another thread than the event loop's can come after the event.
+    private val eventLoop = vertx.dispatcher()
+
     private suspend fun call(
         submit: Submit,
         gate: DispatchGate,
         onText: suspend (String) -> Unit,
+    ): TargetOutcome = withContext(eventLoop) { callOnEventLoop(submit, gate, onText) }
+
+    private suspend fun callOnEventLoop(
+        submit: Submit,
+        gate: DispatchGate,
+        onText: suspend (String) -> Unit,
     ): TargetOutcome {
         val options = RequestOptions()
             .setMethod(HttpMethod.POST)
@@ -33,8 +44,7 @@
         try {
             gate()?.let { return TargetOutcome.Withheld(it) }
             val answer = runCatchingIo {
-                // The body is asked for on the event loop: a coroutine that resumes on another
-                // thread can miss its end and wait for ever.
+                // The body is asked for in the same event as the response, before its end can come.
                 request.send(Buffer.buffer(submit.body))
                     .compose { response -> response.body().map { response.statusCode() to it } }
                     .coAwait()
