Fit path-slope by served parts of requests

Cause: answers of 1,000 tokens end in few windows, so the number of ended requests was 0 in some, and the fit errors reached 66 %. Change: requests are the tokens of the window divided by the tokens a request.

--- a/bench/src/main/kotlin/org/vanilladale/bench/path/PathSlope.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/path/PathSlope.kt
@@ -17,7 +17,10 @@
     val firstToken: Latency,
     val whole: Latency,
     val usage: List<UsageResult>,
-)
+) {
+    /** Requests with the parts that fell into the window; long answers end in few windows. */
+    val servedRequests: Double get() = tokens.toDouble() / tokensPerRequest
+}
 
 /**
  * Processor time of one process in microseconds, without its idle share and its compiler.
@@ -48,7 +51,7 @@
                         val usage = point.usage.first { it.process == process }
                         val used = usage.processorSeconds - usage.compilerSeconds
                         val loaded = (used - idleShare * point.seconds) * MICROSECONDS
-                        listOf(point.requests.toDouble(), point.tokens.toDouble()) to loaded
+                        listOf(point.servedRequests, point.tokens.toDouble()) to loaded
                     },
                 )
             }
--- a/bench/src/main/kotlin/org/vanilladale/bench/path/ProcessUsage.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/path/ProcessUsage.kt
@@ -21,12 +21,15 @@
         return info.totalCpuDuration().map { it.toNanos() / NANOSECONDS }.orElse(0.0)
     }
 
-    /** Time of the compiler threads; the JVM must run with `-XX:-UseDynamicNumberOfCompilerThreads`. */
+    /** Time of the compiler threads; needs a JVM with `-XX:-UseDynamicNumberOfCompilerThreads`. */
     private fun compilerSeconds(): Double =
         File("/proc/$id/task").listFiles().orEmpty().sumOf { compilerTicks(it) } / TICKS_PER_SECOND
 
     private fun compilerTicks(task: File): Long = try {
-        val (thread, fields) = File(task, "stat").readText().substringAfter('(').split(") ", limit = 2)
+        val (thread, fields) = File(
+            task,
+            "stat",
+        ).readText().substringAfter('(').split(") ", limit = 2)
         if (COMPILER.containsMatchIn(thread)) {
             fields.split(' ').let { it[USER_FIELD].toLong() + it[SYSTEM_FIELD].toLong() }
         } else {
