Set the handler of a plain service's answer before the request is sent

Cause: the agent asked for the answer's body after it had sent the request. An answer that arrived in between ended before its body was asked for, and the call waited until its deadline.

Ruled out: the service stand-in (the order was executed and answered) and the connection between entry and agent (other requests on it went on).

Change: response and body handlers are set before the request ends.

Conclusion: the order of the two calls decides; the test guards it.

--- a/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
@@ -32,12 +32,13 @@
         var finished = false
         try {
             gate()?.let { return TargetOutcome.Withheld(it) }
+            // The handler is set before the request is sent and runs on the event loop. Set later,
+            // it can miss the end of an answer that has arrived already, and wait for ever.
+            val received = request.response()
+                .compose { response -> response.body().map { response.statusCode() to it } }
             val answer = runCatchingIo {
-                // The body is asked for on the event loop: a coroutine that resumes on another
-                // thread can miss its end and wait for ever.
-                request.send(Buffer.buffer(submit.body))
-                    .compose { response -> response.body().map { response.statusCode() to it } }
-                    .coAwait()
+                request.end(Buffer.buffer(submit.body)).coAwait()
+                received.coAwait()
             } ?: return TargetOutcome.Broken("the service closed the connection")
             finished = true
             val (status, body) = answer
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
@@ -4,7 +4,10 @@
 import java.util.concurrent.Executor
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
@@ -63,4 +66,26 @@
             expectThat(text).contains("workspace-1/key-$index")
         }
     }
+
+    @Test
+    fun `no answer is missed when it arrives while the call is being set up`() {
+        val port = PlainService(vertx, "stock").start(0).actualPort()
+        val call = PlainServiceCaller(vertx, "http://127.0.0.1:$port", CALLERS).caller
+        val outcomes = runBlocking(Dispatchers.Default) {
+            (1..CALLERS).map { caller ->
+                async {
+                    (1..CALLS).map { number ->
+                        withTimeoutOrNull(2_000) { call(submit("$caller-$number"), { null }) {} }
+                    }
+                }
+            }.awaitAll().flatten()
+        }
+        expectThat(outcomes.groupingBy { it }.eachCount())
+            .isEqualTo(mapOf(TargetOutcome.Completed to CALLERS * CALLS))
+    }
+
+    private companion object {
+        const val CALLERS = 8
+        const val CALLS = 2_000
+    }
 }
