--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -98,6 +98,7 @@
         ::systemNow,
         { sessions.sumOf { it.inFlight } + bound.inFlight },
         { leaving -> sessions.forEach { it.send(leaving) } },
+        { bound.isAsked },
     )
 
     /** Listens for entries and operators. */
--- a/agent/src/main/kotlin/org/vanilladale/agent/BoundRunner.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/BoundRunner.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -39,9 +40,16 @@
     private data class Row(val binding: Binding, val key: BoundKey)
 
     private val running = ConcurrentHashMap<Row, CompletableDeferred<BoundOutcome>>()
+    private val answering = AtomicInteger()
 
-    /** Requests that run or wait for a slot. */
-    val inFlight: Int get() = running.size
+    @Volatile
+    private var askedUntil = clock().deadlineAfter(0)
+
+    /** Requests that run or wait for a slot, and copies whose answer is not written. */
+    val inFlight: Int get() = running.size + answering.get()
+
+    /** True shortly after a request or cancel, while its caller may repeat it. */
+    val isAsked: Boolean get() = !askedUntil.hasPassed(clock())
 
     /** Serves one copy of the request to its outcome and passes each frame to [send]. */
     suspend fun run(
@@ -51,8 +59,14 @@
         send: suspend (Frame) -> Unit,
     ) {
         val row = Row(binding, BoundKey(submit.workspace, submit.key))
-        val outcome = outcomeOf(id, submit, row)
-        BoundAnswer.frames(submit, outcome, slots.load()).forEach { send(it) }
+        answering.incrementAndGet()
+        try {
+            val outcome = outcomeOf(id, submit, row)
+            BoundAnswer.frames(submit, outcome, slots.load()).forEach { send(it) }
+        } finally {
+            noteAsked()
+            answering.decrementAndGet()
+        }
     }
 
     /** Cancels the bound request that [frame] names; null when it names none. */
@@ -60,6 +74,7 @@
         val binding = frame.binding ?: return null
         val workspace = frame.workspace ?: return null
         val key = frame.key ?: return null
+        noteAsked()
         val state = ledger.cancel(binding, BoundKey(workspace, key), clock())
         return CancelResult(frame.request, frame.attempt, state)
     }
@@ -72,6 +87,10 @@
         }
     }
 
+    private fun noteAsked() {
+        askedUntil = clock().deadlineAfter(REPEAT_MILLISECONDS)
+    }
+
     private suspend fun outcomeOf(id: AttemptId, submit: Submit, row: Row): BoundOutcome {
         while (true) {
             when (val decision = ledger.submit(row.binding, row.key, submit.deadline, clock())) {
@@ -161,6 +180,12 @@
         const val FORGET_MILLISECONDS = 10_000L
         const val ATTACH_MILLISECONDS = 5L
 
+        /**
+         * Covers a caller that lost its entry right after the answer: the entry's silence, a new
+         * connection and the repeat.
+         */
+        const val REPEAT_MILLISECONDS = 4_000L
+
         /** A dispatched request keeps its slot this long after its deadline for a late answer. */
         const val LATE_OUTCOME_MILLISECONDS = 10_000L
     }
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
@@ -101,6 +101,9 @@
         row(target).leavingAt = leavingAt
     }
 
+    /** Returns true from the announcement on, also before the target refuses new work. */
+    public fun isLeaving(target: TargetId): Boolean = rows[target]?.leavingAt != null
+
     /** Drops the state of [target], as after a new incarnation or removal from the pool. */
     public fun forget(target: TargetId) {
         rows.remove(target)
--- a/entry/src/main/kotlin/org/vanilladale/entry/BindingIssuer.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/BindingIssuer.kt
@@ -37,7 +37,7 @@
             Refusal(RefusalReason.MALFORMED_REQUEST, detail = detail)
         }
         val connected = fleet.targetsOf(route.pool).filter(isConnected)
-        val live = router.usable(route.pool, connected).mapNotNull { target ->
+        val live = router.bindable(route.pool, connected).mapNotNull { target ->
             fleet.incarnationOrNull(target)?.let { LiveTarget(target, it) }
         }
         val binding = BindingTargetChoice.bind(
--- a/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
@@ -19,6 +19,7 @@
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.runCatchingIo
+import org.vanilladale.runtime.systemNow
 import org.vanilladale.schema.BindingAnswer
 import org.vanilladale.schema.DataCentreName
 import org.vanilladale.schema.EntryList
@@ -34,15 +35,29 @@
     private val entryList: (DataCentreName?) -> EntryList,
     private val bind: (CallerRequestHead) -> Either<Refusal, BindingAnswer>,
     private val run: suspend (CallerRequest, AnswerSink) -> Refusal?,
+    private val isLeaving: () -> Boolean,
 ) {
     private val answering = AtomicInteger()
 
     /** Requests whose answer or refusal is not written to its end. */
     val inFlight: Int get() = answering.get()
 
+    @Volatile
+    private var askedUntil = systemNow().deadlineAfter(0)
+
+    /** True shortly after a request or the end of its answer: more callers may be on the way. */
+    val isAsked: Boolean get() = !askedUntil.hasPassed(systemNow())
+
     /** Listens on the caller address of the settings. */
     suspend fun start(): HttpServer {
         val router = Router.router(vertx)
+        // Callers take their next request to another entry instead of a connection that ends soon.
+        router.route().handler { context ->
+            noteAsked()
+            context.addEndHandler { noteAsked() }
+            if (isLeaving()) context.response().putHeader("connection", "close")
+            context.next()
+        }
         router.get("/v1/entries").handler { context ->
             val caller = context.request().getParam("dataCentre")
                 ?.let(DataCentreName::parseOrNull)
@@ -59,6 +74,10 @@
             .coAwait()
     }
 
+    private fun noteAsked() {
+        askedUntil = systemNow().deadlineAfter(ASKED_MILLISECONDS)
+    }
+
     private fun answerBinding(context: RoutingContext) {
         CallerRequestHead.fromHeaders(context.request().headers()).flatMap(bind).fold(
             { refuse(context, it) },
@@ -143,5 +162,12 @@
 
     private companion object {
         const val MAXIMUM_HEADER_BYTES = 8 * 1024
+
+        /**
+         * Time after the last request in which a leaving entry still answers. A process that ends
+         * while a request arrives resets its connection, and a caller whose stream has just ended
+         * has to learn other entries.
+         */
+        const val ASKED_MILLISECONDS = 1_000L
     }
 }
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -128,6 +128,7 @@
         peers.membership::listFor,
         ::bind,
         ::serve,
+        { plannedStop.leavingOrNull != null },
     )
     private val plannedStop: PlannedStop = PlannedStop(
         settings.vm,
@@ -135,6 +136,7 @@
         ::systemNow,
         endpoint::inFlight,
         ::announce,
+        endpoint::isAsked,
     )
     private val targetReports = TargetReports(fleet, links, router)
     private val statusPage = EntryStatusPage(
@@ -155,7 +157,7 @@
         OperatorEndpoint(vertx, settings.operatorToken, counters, pages)
             .start(settings.operatorAddress)
         spread.start()
-        peers.start()
+        peers.start(EntryReadiness({ configuration.current != null }, ::areLinksConnected))
         scope.launch { suspects.forgetExpiredForever() }
         endpoint.start()
         Logger.info { "entry: ${settings.vm} listens on ${settings.callerAddress}" }
@@ -256,6 +258,8 @@
         }
     }
 
+    private fun areLinksConnected() = links.all.all { it.connection != null }
+
     private fun isConnected(target: TargetId) = links.linkOrNull(target)?.connection != null
 
     /** Handles a frame of another entry; returns false for a type that it does not expect. */
--- a/entry/src/main/kotlin/org/vanilladale/entry/EntryMembership.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/EntryMembership.kt
@@ -49,6 +49,7 @@
     private val deadAt = HashMap<VmId, Pair<EntryState, Deadline>>()
     private var listed = emptyMap<VmId, SocketAddressText>()
     private var replaced = false
+    private var ready = false
     private var dialled = emptySet<SocketAddressText>()
     private var shared = setOf(SubsetEntry(settings.vm, settings.dataCentre))
     private var candidate: Candidate? = null
@@ -105,6 +106,15 @@
         }
     }
 
+    /** Lets other entries hear of this one from now on and list it to callers. */
+    fun announce() {
+        synchronized(lock) {
+            if (ready) return
+            ready = true
+            tellNews()
+        }
+    }
+
     /** Announces that this entry leaves. */
     fun leave() {
         update { directory.leave() }
@@ -151,7 +161,7 @@
     }
 
     private fun tellNews() {
-        val states = directory.states
+        val states = directory.states.filter { ready || it.vm != settings.vm }
         told.forEach { (connection, known) ->
             val news = states.filter { known[it.vm] != it }
             if (news.isNotEmpty() && connection.trySend(EntryStates(news))) {
--- a/entry/src/main/kotlin/org/vanilladale/entry/EntryPeers.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/EntryPeers.kt
@@ -58,13 +58,14 @@
         ::dial,
     )
 
-    /** Listens for other entries, dials some and follows the list of VMs. */
-    suspend fun start() {
+    /** Listens for other entries, dials some and follows the list of VMs; they hear when ready. */
+    suspend fun start(readiness: EntryReadiness) {
         network.listen(scope, settings.peerAddress) { connection ->
             if (connection.remote.role == Role.ENTRY) run(connection) else refuse(connection)
         }
         scope.launch {
             while (isActive) {
+                if (readiness.check(systemNow())) membership.announce()
                 membership.tick()
                 delay(TICK_MILLISECONDS)
             }
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -146,6 +146,16 @@
         targets.filter { view.stateOf(it, now) != TargetState.UNAVAILABLE }
     }
 
+    /**
+     * Returns those of [targets] that may get new bindings. A target that has announced that it
+     * leaves gets none while there are others, since a binding is used some time later.
+     */
+    fun bindable(pool: PoolName, targets: List<TargetId>): List<TargetId> {
+        val usable = usable(pool, targets)
+        val staying = withPool(pool) { usable.filterNot { view.isLeaving(it) } }
+        return staying.ifEmpty { usable }
+    }
+
     /** Describes [target] of [pool] for operators. */
     fun describe(pool: PoolName, target: PoolTarget): TargetReport = withPool(pool) {
         val now = clock()
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
@@ -13,6 +13,8 @@
  *
  * @param inFlight number of requests in flight
  * @param announce sends the frame to every peer
+ * @param isAsked true while callers still ask for what this process can tell without new work:
+ *   outcomes, or where else to go
  */
 public class PlannedStop(
     private val vm: VmId,
@@ -20,6 +22,7 @@
     private val clock: () -> Timestamp,
     private val inFlight: () -> Int,
     private val announce: (Leaving) -> Unit,
+    private val isAsked: () -> Boolean = { false },
 ) {
     private val state = AtomicReference<LeavingState>(LeavingState.Serving)
 
@@ -41,13 +44,23 @@
         if (!state.compareAndSet(LeavingState.Serving, announced)) return
         announce(announced.frame)
         Logger.info { "stop: $vm leaves, ${inFlight()} requests in flight" }
-        while (!announced.isDrained(inFlight(), clock())) delay(POLL_MILLISECONDS)
+        while (!announced.isDrained(inFlight(), clock()) || asks(announced)) {
+            delay(POLL_MILLISECONDS)
+        }
         Logger.info { "stop: $vm drained, ${inFlight()} requests in flight" }
     }
 
+    private fun asks(announced: LeavingState.Announced): Boolean {
+        val limit = announced.frame.leavingAt.deadlineAfter(ASKED_MILLISECONDS)
+        return isAsked() && !minOf(limit, announced.drainDeadline).hasPassed(clock())
+    }
+
     private companion object {
         /** Peers learn of the stop within this time; callers' requests on the way still run. */
         const val NOTICE_MILLISECONDS = 2_000L
         const val POLL_MILLISECONDS = 20L
+
+        /** Callers that go on asking a leaving process hold it up for this time at most. */
+        const val ASKED_MILLISECONDS = 10_000L
     }
 }
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/PlainService.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/PlainService.kt
@@ -14,8 +14,14 @@
  *
  * Any path takes a call; the header `service-key` names it. `GET /control/executions` returns
  * `{key: count}`. `PUT /control` with `{delayMilliseconds, loseAnswers}` brings faults about.
+ *
+ * @param onExecution called with the key of each execution before its answer
  */
-public class PlainService(private val vertx: Vertx, private val name: String) {
+public class PlainService(
+    private val vertx: Vertx,
+    private val name: String,
+    private val onExecution: (key: String) -> Unit = {},
+) {
     private val executions = ConcurrentHashMap<String, Int>()
 
     @Volatile
@@ -44,6 +50,7 @@
     private fun execute(context: RoutingContext) {
         val key = context.request().getHeader("service-key") ?: "none"
         val count = executions.merge(key, 1, Int::plus)
+        onExecution(key)
         val answer = JsonObject()
             .put("service", name)
             .put("path", context.request().path())
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/Fleet.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/Fleet.kt
@@ -27,6 +27,11 @@
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     }
 
+    /** Gives the port called [name] up, so that the next use of the name picks another one. */
+    fun movePort(name: String) {
+        ports -= name
+    }
+
     fun address(name: String): String = "127.0.0.1:${port(name)}"
 
     fun start(name: String, module: String, vararg arguments: String): ProgramProcess {
@@ -49,13 +54,14 @@
         start("vm-list", "stand-ins", "vm-list", "--port=${port("vm-list")}")
     }
 
-    fun startEngine(target: String, vararg options: String) {
+    fun startEngine(target: String, vararg options: String, dataCentre: String = "lodz-1") {
         start("engine-$target", "stand-ins", "engine", "--port=${port("engine-$target")}", *options)
-        startAgent(target, "model", "engine-$target")
+        startAgent(target, "model", "engine-$target", dataCentre = dataCentre)
     }
 
-    fun startService(target: String, dataCentre: String = "lodz-1") {
-        start("service-$target", "stand-ins", "service", "--port=${port("service-$target")}")
+    fun startService(target: String, dataCentre: String = "lodz-1", vararg options: String) {
+        val port = "--port=${port("service-$target")}"
+        start("service-$target", "stand-ins", "service", port, *options)
         startAgent(target, "service", "service-$target", dataCentre = dataCentre)
     }
 
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/ProgramProcess.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/ProgramProcess.kt
@@ -20,6 +20,11 @@
         process.waitFor(END_SECONDS, TimeUnit.SECONDS)
     }
 
+    /** Sends SIGKILL and does not wait. */
+    fun killAtOnce() {
+        process.destroyForcibly()
+    }
+
     /** Stops (SIGSTOP) the process until [resume]. */
     fun pause() {
         signal("STOP")
