Carry copies and shares of experts in map switches, as changes to a known map

Ruled out: one switch for each changed layer.

Change: a group map numbers the experts of all layers through and holds the ranks and weights of each expert's copies. Its digest covers copies, weights and term. MapPrepare carries the whole map or the experts that differ from a named base. A rank that doesn't hold the base, or gets a result that the digest doesn't name, answers MapWanted and receives the whole map. Agents read the active map from the engine, plan each layer with replicas and switch all changed layers at once; the cool-down holds for the group. The stand-in engine splits tokens over copies by weight, has layers, and records a fingerprint of the content beside each digest. The engine refuses to hold for a map that it hasn't loaded. GET /v1/map no longer has the placement; GET /v1/map/content has it.

Tests changed: the simulation and StepRecord compare contents beside digests, which is stricter. Its frames are measured in the transport's encoding with length and checksum instead of CBOR with field names. MapSwitchCoordinatorTest builds the new plan type.

--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/EngineMaps.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/EngineMaps.kt
@@ -9,6 +9,8 @@
 import io.vertx.kotlin.coroutines.coAwait
 import org.vanilladale.core.rankgroup.EngineOrder
 import org.vanilladale.core.rankgroup.EngineReadBack
+import org.vanilladale.core.rankgroup.FlatCopies
+import org.vanilladale.core.rankgroup.GroupMap
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.ArmedMap
 import org.vanilladale.schema.Digest
@@ -19,13 +21,10 @@
 /**
  * State of the engine of a rank.
  *
- * @property placement rank of each expert in the active map
  * @property stepMicroseconds mean time of the rank's own work in a step
  */
 internal class EngineStatus(
     val readBack: EngineReadBack,
-    val placement: List<Rank>,
-    val slots: Int,
     val stepMicroseconds: Long,
     val holding: Boolean,
 )
@@ -45,19 +44,36 @@
     /** Reads the state back, or returns null when the engine can't be reached. */
     suspend fun readBack(): EngineStatus? = get("/v1/map")?.let { status(it) }
 
+    /** Reads the active map, or returns null when the engine can't be reached or has none. */
+    suspend fun content(): EngineContent? {
+        val json = get("/v1/map/content") ?: return null
+        val flat = FlatCopies(
+            json.getJsonArray("placement").map { Rank((it as Number).toInt()) },
+            numbers(json.getJsonArray("copies")),
+            numbers(json.getJsonArray("weights")),
+        )
+        val map = GroupMap.fromFlatOrNull(flat) ?: return null
+        val digest = Digest.parse(json.getString("digest"))
+        return EngineContent(digest, map, json.getInteger("layers"), json.getInteger("slots"))
+    }
+
+    private fun numbers(array: JsonArray): List<Int> = array.map { (it as Number).toInt() }
+
     /** Returns the tokens of each expert in the last report. */
     suspend fun popularity(): List<Double>? = get("/v1/popularity")?.getJsonArray("tokens")
         ?.map { (it as Number).toDouble() }
 
     /** Sends [order]; returns false when the connection fails. A rejected order counts as sent. */
-    suspend fun send(order: EngineOrder, placement: List<Rank>): Boolean {
+    suspend fun send(order: EngineOrder): Boolean {
         val body = JsonObject().put("term", order.term.value)
         val name = when (order) {
             is EngineOrder.Fence -> "fence"
 
             is EngineOrder.Preload -> {
                 body.put("digest", order.digest.text)
-                body.put("placement", JsonArray(placement.map { it.value }))
+                val flat = order.map.flat
+                body.put("placement", JsonArray(flat.placement.map { it.value }))
+                body.put("copies", JsonArray(flat.copies)).put("weights", JsonArray(flat.weights))
                 "preload"
             }
 
@@ -98,8 +114,6 @@
         )
         return EngineStatus(
             readBack,
-            json.getJsonArray("placement").map { Rank((it as Number).toInt()) },
-            json.getInteger("slots"),
             json.getLong("stepMicroseconds"),
             json.getBoolean("holding", false),
         )
--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/EngineQueue.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/EngineQueue.kt
@@ -29,6 +29,11 @@
     var status: EngineStatus? = null
         private set
 
+    /** Last active map that was read from the engine; it may be older than [status]. */
+    @Volatile
+    var content: EngineContent? = null
+        private set
+
     /** Queues [order]; never waits. */
     fun add(order: EngineOrder) {
         jobs.trySend(Job.Order(order))
@@ -54,8 +59,7 @@
     }
 
     private suspend fun poll(onPoll: (EngineStatus) -> Unit) {
-        val read = maps.readBack() ?: return
-        status = read
+        val read = readOrNull() ?: return
         rank.onReadBack(read.readBack)
         onPoll(read)
     }
@@ -74,20 +78,25 @@
 
     /** The gate is asked before each try, because a higher term may have been promised. */
     private suspend fun send(order: EngineOrder) {
-        val placement = if (order is EngineOrder.Preload) {
-            rank.placementOrNull(order.digest) ?: return
-        } else {
-            emptyList()
+        while (rank.admits(order) && !maps.send(order)) delay(RETRY_MILLISECONDS)
+    }
+
+    /** Reads the state, and the active map when it is another than the last one read. */
+    private suspend fun readOrNull(): EngineStatus? {
+        val read = maps.readBack() ?: return null
+        status = read
+        if (content?.digest != read.readBack.activeDigest) {
+            maps.content()?.let {
+                content = it
+                rank.learn(it)
+            }
         }
-        while (rank.admits(order) && !maps.send(order, placement)) delay(RETRY_MILLISECONDS)
+        return read
     }
 
     private suspend fun readBack(): EngineStatus {
         while (true) {
-            maps.readBack()?.let {
-                status = it
-                return it
-            }
+            readOrNull()?.let { return it }
             delay(RETRY_MILLISECONDS)
         }
     }
--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/ExpertPlan.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/ExpertPlan.kt
@@ -5,26 +5,26 @@
 import org.vanilladale.core.placement.PlacementInput
 import org.vanilladale.core.placement.PlacementOptions
 import org.vanilladale.core.placement.PlacementPlanner
-import org.vanilladale.core.placement.PlacementProposal
 import org.vanilladale.core.placement.PlacementState
 import org.vanilladale.core.placement.PopularityOptions
 import org.vanilladale.core.placement.RankSpeed
 import org.vanilladale.core.placement.RankSpeedOptions
+import org.vanilladale.core.rankgroup.GroupMap
+import org.vanilladale.core.rankgroup.MapBase
 import org.vanilladale.schema.AgentSettings
-import org.vanilladale.schema.ExpertId
 import org.vanilladale.schema.Rank
 import org.vanilladale.schema.Timestamp
 
 /**
- * Collects the reports of a group and plans its next expert map. Used by one coroutine only.
- *
- * Each expert has one copy, because [org.vanilladale.schema.MapPrepare] names one rank an expert.
+ * Collects the reports of a group and plans its next expert map, each layer by itself. Used by one
+ * coroutine only.
  */
 internal class ExpertPlan(private val rankCount: Int, settings: AgentSettings) {
+    private class Layer(val state: PlacementState, val popularity: ExpertPopularity)
+
     private val options = PlacementOptions(
         coolDownMilliseconds = settings.planCoolDownMilliseconds,
         periodMilliseconds = settings.movePeriodMilliseconds,
-        allowReplicas = false,
     )
     private val popularityOptions = PopularityOptions(
         scaleMilliseconds = settings.popularityMilliseconds,
@@ -34,46 +34,70 @@
         rankCount,
         RankSpeedOptions(scaleMilliseconds = settings.popularityMilliseconds),
     )
-    private var popularity: ExpertPopularity? = null
-    private var state: PlacementState? = null
+    private var layers = emptyList<Layer>()
 
     /** Takes the reports up to [now] and returns a better map if there is one. */
     fun proposeOrNull(
-        status: EngineStatus,
+        content: EngineContent,
         tokens: List<Double>,
         stepMilliseconds: List<Double>,
         skewWeight: Double,
         now: Timestamp,
-    ): PlacementProposal? {
-        val map = ExpertMap.fromRanks(rankCount, status.slots, status.placement.map { listOf(it) })
-            .getOrNull() ?: return null
-        val observed = (popularity?.takeIf { it.expertCount == map.expertCount } ?: even(map))
-            .observe(tokens, now)
-        popularity = observed
-        speed = speed.observe(loadsOf(map, tokens), stepMilliseconds, now)
-        val current = state?.copy(map = map)
-            ?: PlacementState(map, options.budgetFor(map.expertCount))
-        state = current
-        return planner.plan(PlacementInput(current, observed, speed, skewWeight, now)).getOrNull()
+    ): GroupProposal? {
+        val maps = layerMapsOrNull(content) ?: return null
+        if (tokens.size != content.map.expertCount) return null
+        val counts = tokens.chunked(tokens.size / maps.size)
+        layers = maps.mapIndexed { index, map -> observed(index, map, counts[index], now) }
+        speed = speed.observe(loads(maps, counts), stepMilliseconds, now)
+        val proposals = layers.map {
+            val input = PlacementInput(it.state, it.popularity, speed, skewWeight, now)
+            planner.plan(input).getOrNull()
+        }
+        if (proposals.all { it == null }) return null
+        val map = GroupMap.ofLayers(maps.indices.map { proposals[it]?.map ?: maps[it] })
+        return GroupProposal(map, MapBase(content.digest, content.map), proposals)
     }
 
-    /** Notes that the group has switched to [proposal]. */
-    fun accepted(proposal: PlacementProposal, now: Timestamp) {
-        state = state?.accept(proposal, now, options)
+    /**
+     * Notes that the group has switched to [proposal]. The cool-down holds for all layers, so that
+     * the layers don't switch the group in turn.
+     */
+    fun accepted(proposal: GroupProposal, now: Timestamp) {
+        val coolDown = now.deadlineAfter(options.coolDownMilliseconds)
+        layers = layers.mapIndexed { index, layer ->
+            val accepted = proposal.layers.getOrNull(index)
+            val state = accepted?.let { layer.state.accept(it, now, options) }
+            Layer(state ?: layer.state.copy(coolDownUntil = coolDown), layer.popularity)
+        }
     }
 
-    private fun even(map: ExpertMap) = ExpertPopularity.even(map.expertCount, popularityOptions)
-
-    private fun loadsOf(map: ExpertMap, tokens: List<Double>): List<Double> {
-        val sum = tokens.sum().coerceAtLeast(1.0)
-        return List(rankCount) { rank ->
-            map.expertsOn(Rank(rank)).sumOf { tokens.getOrElse(it.value) { 0.0 } } / sum
+    private fun layerMapsOrNull(content: EngineContent): List<ExpertMap>? {
+        val sets = content.map.sets
+        if (content.layers < 1 || sets.isEmpty() || sets.size % content.layers != 0) return null
+        return sets.chunked(sets.size / content.layers).map { layer ->
+            ExpertMap.fromRanks(rankCount, content.slots, layer.map { it.ranks }).getOrNull()
+                ?: return null
         }
     }
 
-    companion object {
-        /** Returns the rank of each expert of a map with one copy each. */
-        fun placementOf(map: ExpertMap): List<Rank> =
-            List(map.expertCount) { map.ranksOf(ExpertId(it)).first() }
+    private fun observed(index: Int, map: ExpertMap, tokens: List<Double>, now: Timestamp): Layer {
+        val last = layers.getOrNull(index)?.takeIf { it.popularity.expertCount == map.expertCount }
+        val popularity =
+            last?.popularity ?: ExpertPopularity.even(map.expertCount, popularityOptions)
+        val state = last?.state?.copy(map = map)
+            ?: PlacementState(map, options.budgetFor(map.expertCount))
+        return Layer(state, popularity.observe(tokens, now))
+    }
+
+    /** Returns the share of the tokens of all layers that each rank computes. */
+    private fun loads(maps: List<ExpertMap>, tokens: List<List<Double>>): List<Double> {
+        val sum = tokens.sumOf { it.sum() }.coerceAtLeast(1.0)
+        return List(rankCount) { rank ->
+            maps.indices.sumOf { layer ->
+                maps[layer].expertsOn(Rank(rank)).sumOf {
+                    tokens[layer][it.value] / maps[layer].ranksOf(it).size
+                }
+            } / sum
+        }
     }
 }
--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/GroupCoordinator.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/GroupCoordinator.kt
@@ -1,19 +1,17 @@
 package org.vanilladale.agent.rankgroup
 
-import java.security.MessageDigest
 import kotlin.random.Random
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
-import org.vanilladale.core.placement.PlacementProposal
 import org.vanilladale.core.rankgroup.CoordinatorFrame
+import org.vanilladale.core.rankgroup.GroupMap
 import org.vanilladale.core.rankgroup.MapSwitchCoordinator
 import org.vanilladale.core.rankgroup.MapSwitchFault
 import org.vanilladale.core.rankgroup.MapSwitchPhase
 import org.vanilladale.core.rankgroup.MapSwitchPlan
 import org.vanilladale.schema.AgentSettings
 import org.vanilladale.schema.Deadline
-import org.vanilladale.schema.Digest
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.LeaseRelease
 import org.vanilladale.schema.LeaseReply
@@ -30,8 +28,8 @@
 internal class CoordinatorPorts(
     val connected: () -> Set<Rank>,
     val send: (Rank, Frame) -> Unit,
-    val propose: suspend (Timestamp) -> PlacementProposal?,
-    val accepted: (PlacementProposal, Timestamp) -> Unit,
+    val propose: suspend (Timestamp) -> GroupProposal?,
+    val accepted: (GroupProposal, Timestamp) -> Unit,
     val engineTerm: () -> Term,
 )
 
@@ -52,7 +50,7 @@
     private class Run(
         val machine: MapSwitchCoordinator,
         val term: Term,
-        val proposal: PlacementProposal?,
+        val proposal: GroupProposal?,
         val startedAt: Timestamp,
     )
 
@@ -105,15 +103,13 @@
         }
     }
 
-    private fun begin(proposal: PlacementProposal?, now: Timestamp) {
+    private fun begin(proposal: GroupProposal?, now: Timestamp) {
         val term = Term(maxOf(highestTerm, ports.engineTerm()).value + 1)
         highestTerm = term
         val plan = MapSwitchPlan.plan(place.group, settings.vm, term) {
-            placement = MapSwitchPlan.Placement(
-                place.ranks,
-                proposal?.let { ExpertPlan.placementOf(it.map) }.orEmpty(),
-            )
-            digest = digestOf(proposal, term)
+            val map = proposal?.map ?: GroupMap.of(emptyList())
+            placement = MapSwitchPlan.Placement(place.ranks, map, proposal?.base)
+            digest = map.digestUnder(term)
             leaseMilliseconds = settings.rankLeaseMilliseconds
         }
         val run = Run(MapSwitchCoordinator(plan, now), term, proposal, now)
@@ -121,13 +117,6 @@
         pass(run, run.machine.start(clock()))
     }
 
-    /** A map gets another digest with each switch, so that a late order for it names no other. */
-    private fun digestOf(proposal: PlacementProposal?, term: Term): Digest {
-        val text = "${proposal?.map?.digest}/${settings.vm}/$term"
-        val bytes = MessageDigest.getInstance("SHA-256").digest(text.toByteArray())
-        return Digest.parse(bytes.joinToString("") { "%02x".format(it) })
-    }
-
     private fun pass(run: Run, frames: List<CoordinatorFrame>) {
         val result = run.machine.result
         if (run.proposal == null && run.machine.phase == MapSwitchPhase.PREPARE) {
--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/GroupMember.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/GroupMember.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.plus
-import org.vanilladale.core.placement.PlacementProposal
 import org.vanilladale.schema.AgentSettings
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.LeaseRelease
@@ -22,6 +21,7 @@
 import org.vanilladale.schema.MapPrepared
 import org.vanilladale.schema.MapQuery
 import org.vanilladale.schema.MapState
+import org.vanilladale.schema.MapWanted
 import org.vanilladale.schema.Rank
 import org.vanilladale.schema.RankReport
 import org.vanilladale.schema.Term
@@ -146,6 +146,7 @@
         is LeaseReply -> frame.rank
         is MapPrepared -> frame.rank
         is MapArmed -> frame.rank
+        is MapWanted -> frame.rank
         is MapState -> frame.rank
         is MapQuery -> frame.rank
         is RankReport -> frame.rank
@@ -154,7 +155,7 @@
 
     private fun dispatch(from: Rank, frame: Frame) {
         when (frame) {
-            is LeaseReply, is MapPrepared, is MapArmed -> coordinator.receive(frame)
+            is LeaseReply, is MapPrepared, is MapArmed, is MapWanted -> coordinator.receive(frame)
 
             is MapState -> if (frame.query == HOLDER_QUERY) {
                 coordinator.receive(frame)
@@ -172,11 +173,12 @@
         }
     }
 
-    private suspend fun propose(now: Timestamp): PlacementProposal? {
-        val status = queue.status ?: return null
+    private suspend fun propose(now: Timestamp): GroupProposal? {
+        val content = queue.content ?: return null
+        if (content.digest != queue.status?.readBack?.activeDigest) return null
         val stepMilliseconds = view.stepMilliseconds() ?: return null
         val tokens = maps.popularity() ?: return null
-        return plan.proposeOrNull(status, tokens, stepMilliseconds, ports.skewWeight(), now)
+        return plan.proposeOrNull(content, tokens, stepMilliseconds, ports.skewWeight(), now)
     }
 
     private companion object {
--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/RankState.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/RankState.kt
@@ -5,15 +5,14 @@
 import org.vanilladale.core.rankgroup.EngineOrder
 import org.vanilladale.core.rankgroup.EngineOrderGate
 import org.vanilladale.core.rankgroup.EngineReadBack
+import org.vanilladale.core.rankgroup.MapStore
 import org.vanilladale.core.rankgroup.MemberAction
 import org.vanilladale.core.rankgroup.RankLease
 import org.vanilladale.core.rankgroup.RankMapMember
-import org.vanilladale.schema.Digest
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.LeaseRelease
 import org.vanilladale.schema.LeaseReply
 import org.vanilladale.schema.LeaseRequest
-import org.vanilladale.schema.MapPrepare
 import org.vanilladale.schema.Rank
 import org.vanilladale.schema.Timestamp
 
@@ -37,15 +36,12 @@
     private val lock = ReentrantLock()
     private val lease =
         RankLease(longestLeaseMilliseconds, clock().deadlineAfter(longestLeaseMilliseconds))
+    private val maps = MapStore()
     private val member =
-        RankMapMember(place.group, place.rank, place.ranks, ASK_MILLISECONDS)
+        RankMapMember(place.group, place.rank, place.ranks, ASK_MILLISECONDS, maps = maps)
     private val gate = EngineOrderGate()
     private var holder: Rank? = null
     private var holderRequest = 0L
-    private val placements = object : LinkedHashMap<Digest, List<Rank>>() {
-        override fun removeEldestEntry(eldest: Map.Entry<Digest, List<Rank>>): Boolean =
-            size > KEPT_PLACEMENTS
-    }
     private var restored = false
 
     /** Frames and orders dropped because they were stale. */
@@ -70,8 +66,10 @@
     /** Last check before [order] goes to the engine. */
     fun admits(order: EngineOrder): Boolean = lock.withLock { gate.admit(order) }
 
-    /** Returns the placement of the map [digest], or null when no holder has sent it. */
-    fun placementOrNull(digest: Digest): List<Rank>? = lock.withLock { placements[digest] }
+    /** Notes the active map of the engine, so that changes to it can be taken. */
+    fun learn(content: EngineContent) {
+        lock.withLock { maps.learn(content.digest, content.map) }
+    }
 
     /** Takes the engine's answer to [order]. */
     fun onOrderDone(order: EngineOrder, readBack: EngineReadBack) {
@@ -86,10 +84,7 @@
 
                 is LeaseRelease -> lease.release(frame)
 
-                else -> {
-                    if (frame is MapPrepare) placements[frame.digest] = frame.placement
-                    act(member.onFrame(frame))
-                }
+                else -> act(member.onFrame(frame))
             }
         }
     }
@@ -143,8 +138,5 @@
 
     private companion object {
         const val ASK_MILLISECONDS = 100L
-
-        /** A late frame of an earlier holder must not displace the map that is being loaded. */
-        const val KEPT_PLACEMENTS = 16
     }
 }
--- a/core/src/main/kotlin/org/vanilladale/core/rankgroup/EngineOrder.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/EngineOrder.kt
@@ -17,10 +17,11 @@
     public data class Fence(override val term: Term) : EngineOrder
 
     /**
-     * Loads the expert weights of the map [digest] without using them. It can take long and does
-     * not keep later orders waiting.
+     * Loads the expert weights of [map], which is named [digest], without using them. It can take
+     * long and does not keep later orders waiting.
      */
-    public data class Preload(override val term: Term, val digest: Digest) : EngineOrder
+    public data class Preload(override val term: Term, val digest: Digest, val map: GroupMap) :
+        EngineOrder
 
     /** Makes the engine stop before `map.switchStep` until [Activate] or [Release]. */
     public data class Hold(override val term: Term, val map: ArmedMap) : EngineOrder
--- a/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchCoordinator.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchCoordinator.kt
@@ -15,9 +15,9 @@
 import org.vanilladale.schema.MapArm
 import org.vanilladale.schema.MapArmed
 import org.vanilladale.schema.MapConfirm
-import org.vanilladale.schema.MapPrepare
 import org.vanilladale.schema.MapPrepared
 import org.vanilladale.schema.MapState
+import org.vanilladale.schema.MapWanted
 import org.vanilladale.schema.Rank
 import org.vanilladale.schema.RankMapState
 import org.vanilladale.schema.Step
@@ -52,6 +52,9 @@
     private var preparedStep = Step(0)
     private var unfinished: ArmedMap? = null
     private var armed: ArmedMap? = null
+    private val whole = plan.map.toPrepare(plan.group, plan.term, plan.digest)
+    private val change = plan.base?.let { plan.map.changeFrom(it, whole) } ?: whole
+    private val ranksWithoutBase = mutableSetOf<Rank>()
 
     /** Phase that the switch has reached. */
     public var phase: MapSwitchPhase = MapSwitchPhase.COLLECT
@@ -86,6 +89,7 @@
 
     /** Handles the answer of a rank; answers to other terms or phases change nothing. */
     public fun onFrame(frame: Frame, now: Timestamp): List<CoordinatorFrame> = guarded(now) {
+        if (frame is MapWanted) return@guarded wholeMap(frame)
         val answered = when (frame) {
             is LeaseReply -> onLeaseReply(frame)
 
@@ -133,6 +137,14 @@
         return frame.rank
     }
 
+    private fun wholeMap(frame: MapWanted): List<CoordinatorFrame> {
+        val asked = frame.term == plan.term && frame.digest == plan.digest
+        val loading = phase == MapSwitchPhase.PREPARE && frame.rank in waiting
+        // The answer to a repeated question would be a second whole map; the retry covers a loss.
+        if (!asked || !loading || !ranksWithoutBase.add(frame.rank)) return emptyList()
+        return listOf(CoordinatorFrame(frame.rank, whole))
+    }
+
     private fun onState(frame: MapState): Rank? {
         val state = frame.state
         if (frame.term != plan.term || state == null) return null
@@ -226,7 +238,7 @@
         }
 
         MapSwitchPhase.PREPARE ->
-            MapPrepare(plan.group, plan.term, plan.digest, plan.placement)
+            if (rank in ranksWithoutBase) whole else change
 
         MapSwitchPhase.ARM -> MapArm(plan.group, checkNotNull(armed))
 
--- a/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchPlan.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/MapSwitchPlan.kt
@@ -22,15 +22,20 @@
     public val term: Term = builder.term
     public val digest: Digest = builder.digest
     public val ranks: Set<Rank> = builder.placement.ranks
-    public val placement: List<Rank> = builder.placement.rankOfExpert
+    public val map: GroupMap = builder.placement.map
+    public val base: MapBase? = builder.placement.base
     public val leaseMilliseconds: Long = builder.leaseMilliseconds
     public val retryMilliseconds: Long = builder.retryMilliseconds
     public val preloadMilliseconds: Long = builder.preloadMilliseconds
     public val switchStep: (Step) -> Step = builder.switchStep
     public val sameMap: (ArmedMap, ArmedMap) -> Boolean = builder.sameMap
 
-    /** Ranks of the group and the rank of each expert. */
-    public data class Placement(val ranks: Set<Rank>, val rankOfExpert: List<Rank>)
+    /**
+     * Ranks of the group and the copies of each expert.
+     *
+     * @property base active map; the ranks get only what differs from it, the whole map when null
+     */
+    public data class Placement(val ranks: Set<Rank>, val map: GroupMap, val base: MapBase? = null)
 
     /** Collects the parts of a plan. */
     public class Builder internal constructor(
--- a/core/src/main/kotlin/org/vanilladale/core/rankgroup/RankMapMember.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rankgroup/RankMapMember.kt
@@ -13,6 +13,7 @@
 import org.vanilladale.schema.MapPrepared
 import org.vanilladale.schema.MapQuery
 import org.vanilladale.schema.MapState
+import org.vanilladale.schema.MapWanted
 import org.vanilladale.schema.Rank
 import org.vanilladale.schema.RankMapState
 import org.vanilladale.schema.Term
@@ -42,6 +43,7 @@
  *
  * @param askMilliseconds interval between questions to the peers while the engine holds
  * @param sameMap tells whether two armed maps belong to one switch
+ * @param maps contents of the maps that the rank knows
  */
 public class RankMapMember(
     private val group: GroupId,
@@ -49,6 +51,7 @@
     private val ranks: Set<Rank>,
     private val askMilliseconds: Long,
     private val sameMap: (ArmedMap, ArmedMap) -> Boolean = { left, right -> left == right },
+    private val maps: MapStore = MapStore(),
 ) {
     private var engine: EngineReadBack? = null
     private var promised: Term = Term(0)
@@ -163,8 +166,14 @@
 
     private fun preload(frame: MapPrepare): List<MemberAction> {
         if (loading == frame.digest) return emptyList()
+        val active = engine?.activeDigest ?: return drop()
+        val map = maps.preparedOrNull(frame, active)
+        if (map == null) {
+            if (frame.base == null) return drop()
+            return listOf(toHolder(MapWanted(group, rank, frame.term, frame.digest)))
+        }
         loading = frame.digest
-        return listOf(MemberAction.Order(EngineOrder.Preload(frame.term, frame.digest)))
+        return listOf(MemberAction.Order(EngineOrder.Preload(frame.term, frame.digest, map)))
     }
 
     private fun arm(map: ArmedMap): List<MemberAction> {
--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchCoordinatorTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchCoordinatorTest.kt
@@ -33,7 +33,8 @@
 
     private fun coordinator(map: String = "new") = MapSwitchCoordinator(
         MapSwitchPlan.plan(group, VmId.parse("holder"), Term(4)) {
-            placement = MapSwitchPlan.Placement(ranks, listOf(Rank(0), Rank(1)))
+            val sets = listOf(Rank(0), Rank(1)).map { CopySet.evenly(listOf(it)) }
+            placement = MapSwitchPlan.Placement(ranks, GroupMap.of(sets))
             digest = Digest.parse(map)
         },
         at(0),
--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchProofTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/MapSwitchProofTest.kt
@@ -18,7 +18,8 @@
 
         override fun toString() = "broken $broken/${runs.size}, stuck $stuck, frames after lease " +
             "$framesAfterLease, switches ${runs.sumOf { it.completedAt.size }}, steps " +
-            "${runs.sumOf { it.history.size }}, held ticks ${runs.sumOf { it.heldTicks }}"
+            "${runs.sumOf { it.history.size }}, held ticks ${runs.sumOf { it.heldTicks }}, " +
+            "whole maps asked for ${runs.sumOf { it.wholeMapsWanted }}"
     }
 
     private fun counts(seeds: IntRange, removed: Removed, fencing: Boolean, ranks: (Int) -> Int) =
@@ -43,6 +44,8 @@
             expectThat(found.getValue(Removed.COMPARE_VERSION_ONLY).broken).isGreaterThan(0)
             expectThat(found.getValue(Removed.READ_BACK_AFTER_RESTART).broken).isGreaterThan(0)
             expectThat(found.getValue(Removed.ABORT_BY_HOLDER_ONLY).broken).isGreaterThan(0)
+            expectThat(found.getValue(Removed.COMPARE_BASE_AND_RESULT).broken).isGreaterThan(0)
+            expectThat(found.getValue(Removed.COMPARE_BASE).broken).isEqualTo(0)
             expectThat(found.getValue(Removed.LEASE_RECHECK).framesAfterLease).isGreaterThan(0)
             if (!fencing) {
                 expectThat(found.getValue(Removed.WAIT_AFTER_RESTART).broken).isGreaterThan(0)
--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankGroupSimulation.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/RankGroupSimulation.kt
@@ -2,8 +2,6 @@
 
 import java.util.PriorityQueue
 import kotlin.random.Random
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.cbor.Cbor
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Digest
 import org.vanilladale.schema.Frame
@@ -12,6 +10,7 @@
 import org.vanilladale.schema.LeaseReply
 import org.vanilladale.schema.LeaseRequest
 import org.vanilladale.schema.MapState
+import org.vanilladale.schema.MapWanted
 import org.vanilladale.schema.Rank
 import org.vanilladale.schema.RankMapState
 import org.vanilladale.schema.Step
@@ -30,12 +29,16 @@
     private val group = GroupId.parse("group")
     private val ranks = List(setup.rankCount) { Rank(it) }.toSet()
     private val initial = Digest.parse("v0-initial")
-    private val engines = List(setup.rankCount) { SimulatedEngine(setup.keepsFencing, initial) }
+    private val maps = SimulatedMaps(setup, ranks)
+    private val engines =
+        List(setup.rankCount) { SimulatedEngine(setup.keepsFencing, initial, maps.initial) }
+
     private val grants = mutableMapOf<Int, Pair<Term, Long>>()
     private var partition: Set<Int> = emptySet()
 
-    /** Map digest of each rank for each executed step, and the time of the step. */
-    val history = mutableListOf<Pair<Long, List<Digest>>>()
+    /** Digest and content of the map of each rank for each executed step, and its time. */
+    val history = mutableListOf<Pair<Long, List<MapBase>>>()
+    var wholeMapsWanted = 0L
     var heldTicks = 0L
     var framesAfterLease = 0L
     val completedAt = mutableListOf<Long>()
@@ -47,7 +50,7 @@
     private val agents = List(setup.rankCount) { Agent(it) }
     private val coordinators = List(setup.coordinatorCount) { Coordinator(setup.rankCount + it) }
 
-    val brokenSteps: Int get() = history.count { (_, digests) -> digests.distinct().size > 1 }
+    val brokenSteps: Int get() = history.count { (_, maps) -> maps.distinct().size > 1 }
 
     /** True when both steps and a new switch completed within [milliseconds] of the last fault. */
     fun recoveredWithin(milliseconds: Long): Boolean {
@@ -88,7 +91,7 @@
         engines.forEach { it.tryEnter(now) }
         if (engines.any { it.isHolding }) heldTicks++
         if (engines.all { it.entered }) {
-            history += now to engines.map { it.active }
+            history += now to engines.map { MapBase(it.active, it.activeMap) }
             engines.forEach { it.completeStep() }
         }
         agents.forEach { it.tick() }
@@ -121,10 +124,10 @@
 
     private fun moment() = random.nextLong(setup.faultsUntil)
 
-    @OptIn(ExperimentalSerializationApi::class)
     private fun send(from: Int, to: Int, frame: Frame) {
         frames++
-        if (setup.measured) bytes += Cbor.encodeToByteArray(Frame.serializer(), frame).size
+        if (frame is MapWanted) wholeMapsWanted++
+        if (setup.measured) bytes += bytesOnWire(frame)
         val copies = if (chance(6)) {
             0
         } else if (chance(6)) {
@@ -160,14 +163,20 @@
         private var lastRequest = 0L
         private var gate = EngineOrderGate()
         private var lease = RankLease(LEASE, Deadline.fromEpochMilliseconds(0))
+        private var store = setup.removed.mapStore()
         private var member = newMember()
 
         init {
-            member.onReadBack(engine.readBack(), timestamp)
+            member.onReadBack(readBack(), timestamp)
         }
 
         private fun newMember() =
-            RankMapMember(group, Rank(index), ranks, 50, setup.removed::sameMap)
+            RankMapMember(group, Rank(index), ranks, 50, setup.removed::sameMap, store)
+
+        private fun readBack(): EngineReadBack {
+            store.learn(engine.active, engine.activeMap)
+            return engine.readBack()
+        }
 
         fun die() {
             if (!alive) return
@@ -185,6 +194,7 @@
             gate = EngineOrderGate()
             val wait = if (setup.removed == Removed.WAIT_AFTER_RESTART) 0 else LEASE
             lease = RankLease(LEASE, timestamp.deadlineAfter(wait))
+            store = setup.removed.mapStore()
             member = newMember()
             engine.readBack().term?.let {
                 lease.restore(it)
@@ -195,7 +205,7 @@
         fun tick() {
             if (!alive) return
             settled = settled || lease.isSettled(timestamp)
-            if (settled) act(member.onReadBack(engine.readBack(), timestamp))
+            if (settled) act(member.onReadBack(readBack(), timestamp))
         }
 
         fun receive(from: Int, frame: Frame) {
@@ -285,7 +295,7 @@
                 if (sender == incarnation) {
                     if (gate.admit(order)) engine.apply(order)
                     if (order !is EngineOrder.Fence) restarted = false
-                    act(member.onOrderDone(order, engine.readBack(), timestamp))
+                    act(member.onOrderDone(order, readBack(), timestamp))
                 } else if (random.nextInt(10) < 9) {
                     at(random.nextLong(1, setup.latestOrder)) { engine.apply(order) }
                 }
@@ -329,12 +339,12 @@
         private fun begin() {
             val next = engines.maxOf { version(it.active) } + 1
             val recheck = setup.removed != Removed.LEASE_RECHECK
-            val plan = MapSwitchPlan.plan(group, VmId.parse("c$index"), Term(++term)) {
-                placement = MapSwitchPlan.Placement(
-                    ranks,
-                    List(setup.experts) { Rank(it % setup.rankCount) },
-                )
-                digest = Digest.parse("v$next-c$index-${count++}-".padEnd(64, '0'))
+            val newTerm = Term(++term)
+            val plan = MapSwitchPlan.plan(group, VmId.parse("c$index"), newTerm) {
+                val base = MapBase(engines[0].active, engines[0].activeMap)
+                val map = maps.moved(base.map)
+                placement = MapSwitchPlan.Placement(ranks, map, base)
+                digest = maps.digest("v$next-c$index-${count++}-", map, newTerm)
                 // Ranks cap the lease; the longer one is a holder that never rechecks.
                 leaseMilliseconds = if (recheck) LEASE else 3 * LEASE
                 sameMap = setup.removed::sameMap
@@ -384,8 +394,4 @@
             startAt = now + random.nextLong(50, 700)
         }
     }
-
-    companion object {
-        const val LEASE = 2_000L
-    }
 }
--- a/core/src/test/kotlin/org/vanilladale/core/rankgroup/SimulatedEngine.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/SimulatedEngine.kt
@@ -6,8 +6,15 @@
 import org.vanilladale.schema.Term
 
 /** Engine of one rank; it outlives its agent and obeys any order unless it keeps fencing. */
-internal class SimulatedEngine(private val keepsFencing: Boolean, initial: Digest) {
+internal class SimulatedEngine(
+    private val keepsFencing: Boolean,
+    initial: Digest,
+    initialMap: GroupMap,
+) {
     var active = initial
+    var activeMap = initialMap
+        private set
+    private val maps = mutableMapOf(initial to initialMap)
     var held: ArmedMap? = null
     var stalledUntil = 0L
     var entered = false
@@ -32,7 +39,8 @@
             is EngineOrder.Hold -> hold(order.map, false)
             is EngineOrder.Activate -> hold(order.map, true)
             is EngineOrder.Release -> if (order.map.names(held)) held = null
-            is EngineOrder.Fence, is EngineOrder.Preload -> Unit
+            is EngineOrder.Preload -> maps[order.digest] = order.map
+            is EngineOrder.Fence -> Unit
         }
     }
 
@@ -41,6 +49,7 @@
         if (entered || now < stalledUntil || isHolding) return
         held?.takeIf { activated && it.switchStep.value <= step }?.let {
             active = it.digest
+            activeMap = maps[it.digest] ?: activeMap
             held = null
             activated = false
         }
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/rankgroup/SimulatedMaps.kt
@@ -0,0 +1,51 @@
+package org.vanilladale.core.rankgroup
+
+import kotlin.random.Random
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import org.vanilladale.schema.Digest
+import org.vanilladale.schema.Frame
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Term
+
+/** Contents of the maps of a simulated group. */
+internal class SimulatedMaps(private val setup: Setup, private val ranks: Set<Rank>) {
+    /** Separate, so that the contents of the maps don't change the schedule of a seed. */
+    private val random = Random(setup.seed)
+
+    val initial =
+        GroupMap.of(List(setup.experts) { CopySet.evenly(listOf(Rank(it % setup.rankCount))) })
+
+    /** Gives some experts two copies; they share the tokens evenly when bytes are measured. */
+    fun moved(map: GroupMap): GroupMap {
+        val sets = map.sets.toMutableList()
+        sets.indices.shuffled(random).take(setup.moved).forEach { expert ->
+            val two = ranks.shuffled(random).take(2)
+            val weights = listOf(1, if (setup.measured) 1 else 1 + random.nextInt(3))
+            sets[expert] = CopySet.fromRanks(two, weights)
+        }
+        return GroupMap.of(sets)
+    }
+
+    /** Returns a digest of full length that starts with [name] and names the content of [map]. */
+    fun digest(name: String, map: GroupMap, term: Term): Digest {
+        val end = contentName(map, term)
+        return Digest.parse(name.padEnd(Digest.MAXIMUM_LENGTH - end.length, '0') + end)
+    }
+}
+
+/** Length and checksum of a frame of the transport, in bytes. */
+private const val FRAMING = 8
+
+/** Encoding of the transport. */
+@OptIn(ExperimentalSerializationApi::class)
+private val cbor = Cbor {
+    alwaysUseByteString = true
+    useDefiniteLengthEncoding = true
+    preferCborLabelsOverNames = true
+}
+
+/** Returns the bytes of [frame] on a connection. */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun bytesOnWire(frame: Frame): Int =
+    cbor.encodeToByteArray(Frame.serializer(), frame).size + FRAMING
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/RankEngine.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/RankEngine.kt
@@ -9,9 +9,19 @@
  * With [keepsFencing] an order of a lower term than the highest seen is rejected; otherwise every
  * order is obeyed, a late one to activate as soon as possible.
  */
-internal class RankEngine(private val keepsFencing: Boolean, initial: String) {
+internal class RankEngine(
+    private val keepsFencing: Boolean,
+    initial: String,
+    initialMap: EngineMap,
+) {
     var activeDigest: String = initial
         private set
+    var activeMap: EngineMap = initialMap
+        private set
+    private val preloaded = object : LinkedHashMap<String, EngineMap>() {
+        override fun removeEldestEntry(eldest: Map.Entry<String, EngineMap>): Boolean =
+            size > PRELOADED_MAPS && eldest.key != held?.digest
+    }
     var held: HeldMap? = null
         private set
     var activated: Boolean = false
@@ -38,7 +48,14 @@
         return true
     }
 
+    /** Notes the loaded map [digest]. */
+    fun preload(digest: String, map: EngineMap) {
+        preloaded[digest] = map
+    }
+
+    /** Holds for [map] or switches to it, if the rank has loaded it. */
     fun hold(map: HeldMap, activate: Boolean) {
+        if (map.digest !in preloaded) return
         val late = map.switchStep < nextStep
         if (late && (keepsFencing || !activate)) return
         held = if (keepsFencing) map else map.copy(term = 0)
@@ -57,6 +74,7 @@
         if (entered || now < stalledUntil || isHolding) return
         held?.takeIf { activated && it.switchStep <= step }?.let {
             activeDigest = it.digest
+            activeMap = preloaded.getValue(it.digest)
             held = null
             activated = false
         }
@@ -67,4 +85,8 @@
         entered = false
         step++
     }
+
+    private companion object {
+        const val PRELOADED_MAPS = 16
+    }
 }
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/RankGroup.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/RankGroup.kt
@@ -10,12 +10,15 @@
 /**
  * Stand-in for the engines of a rank group that run in lock-step.
  *
- * A step runs once every rank has entered it and takes as long as the slowest rank: its share of
- * the expert load under the active map times its slowness. Each rank has a port with the API of
- * [Engine] and in addition:
- * - `GET /v1/map` reads back `{digest, placement, slots, step, stepMicroseconds, holding}` and,
- *   where they apply, `held`, `activated` and `term`;
- * - `POST /v1/map/preload` takes `{term, digest, placement}` and answers when all is loaded;
+ * A step runs once every rank has entered it. Each layer takes as long as its slowest rank: its
+ * share of the expert load under the active map times its slowness. The copies of an expert share
+ * its tokens by weight. Each rank has a port with the API of [Engine] and in addition:
+ * - `GET /v1/map` reads back `{digest, step, stepMicroseconds, holding}` and, where they apply,
+ *   `held`, `activated` and `term`;
+ * - `GET /v1/map/content` returns the active map, `{digest, placement, copies, weights}`, with
+ *   `layers` and the `slots` for copies of one layer;
+ * - `POST /v1/map/preload` takes `{term, digest, placement, copies, weights}` and answers when all
+ *   is loaded;
  * - `POST /v1/map/hold`, `activate` and `release` take `{term, map: {term, digest, switchStep}}`,
  *   `POST /v1/map/fence` takes `{term}`; a stale term is answered with 409 if fencing is kept;
  * - `GET /v1/popularity` returns `{tokens}` of each expert, counted in the interval before last;
@@ -25,11 +28,13 @@
 public class RankGroup internal constructor(
     private val vertx: Vertx,
     private val settings: Settings,
-    private val popularity: DriftingPopularity,
+    private val popularity: GroupLoad,
 ) {
     /**
      * Size and behaviour of the group.
      *
+     * @property experts experts of a layer
+     * @property slotsPerRank copies of one layer that fit on a rank
      * @property stepMilliseconds time of a step with even load
      * @property tokens tokens in an answer
      * @property keepsFencing whether stale terms are rejected
@@ -43,10 +48,13 @@
         public val tokens: Int,
         public val keepsFencing: Boolean,
         public val loadMilliseconds: Long,
+        public val layers: Int = 1,
     )
 
-    private val placements = mutableMapOf(INITIAL to List(settings.experts) { it % settings.ranks })
-    private val ranks = List(settings.ranks) { RankEngine(settings.keepsFencing, INITIAL) }
+    private val ranks = List(settings.ranks) {
+        val map = EngineMap.evenly(settings.layers, settings.experts, settings.ranks)
+        RankEngine(settings.keepsFencing, INITIAL, map)
+    }
     private val engines = List(settings.ranks) {
         Engine(
             vertx,
@@ -73,6 +81,7 @@
             router.put("/control").handler(BodyHandler.create(false)).handler { control(it, rank) }
             router.get("/control/steps").handler { it.json(synchronized(this) { record.toJson() }) }
             router.get("/v1/map").handler { it.json(synchronized(this) { readBack(rank) }) }
+            router.get("/v1/map/content").handler { it.json(synchronized(this) { content(rank) }) }
             router.get("/v1/popularity").handler { context ->
                 val tokens = synchronized(this) { reported.map { (it * TOKENS).toLong() } }
                 context.json(JsonObject().put("tokens", JsonArray(tokens)))
@@ -134,21 +143,23 @@
     }
 
     private fun preload(body: JsonObject, rank: Int): Long {
-        val placement = body.getJsonArray("placement").map { (it as Number).toInt() }
-        placements[body.getString("digest")] = placement
-        val active = placements.getValue(ranks[rank].activeDigest)
-        val moved = placement.indices.count { placement[it] == rank && active[it] != rank }
+        val map = EngineMap.fromJson(body)
+        val moved = map.copiesMissingIn(ranks[rank].activeMap, rank)
+        ranks[rank].preload(body.getString("digest"), map)
         return moved * settings.loadMilliseconds
     }
 
+    private fun content(rank: Int): JsonObject = ranks[rank].activeMap.toJson()
+        .put("digest", ranks[rank].activeDigest)
+        .put("layers", settings.layers)
+        .put("slots", settings.slotsPerRank)
+
     private fun readBack(rank: Int): JsonObject {
         val engine = ranks[rank]
         val json = JsonObject()
             .put("digest", engine.activeDigest)
-            .put("placement", JsonArray(placements.getValue(engine.activeDigest)))
-            .put("slots", settings.slotsPerRank)
             .put("step", engine.nextStep)
-            .put("stepMicroseconds", (workMilliseconds(rank) * 1000).toLong())
+            .put("stepMicroseconds", (layerMilliseconds(rank).sum() * 1000).toLong())
             .put("holding", engine.isHolding)
             .put("activated", engine.activated)
         engine.held?.let {
@@ -159,11 +170,11 @@
         return json
     }
 
-    private fun workMilliseconds(rank: Int): Double {
-        val shares = popularity.shares()
-        val placement = placements.getValue(ranks[rank].activeDigest)
-        val load = placement.indices.sumOf { if (placement[it] == rank) shares[it] else 0.0 }
-        return settings.stepMilliseconds * load * settings.ranks * ranks[rank].slowness
+    /** Returns the time that [rank] computes in each layer of a step. */
+    private fun layerMilliseconds(rank: Int): List<Double> {
+        val even = settings.stepMilliseconds.toDouble() / settings.layers
+        return popularity.loadsOf(rank, ranks[rank].activeMap)
+            .map { even * it * settings.ranks * ranks[rank].slowness }
     }
 
     private fun enterSteps() = synchronized(this) {
@@ -177,9 +188,11 @@
             record.heldMilliseconds += now - it
         }
         heldSince = null
-        record.add(ranks[0].step, ranks.map { it.activeDigest })
+        // The fingerprint shows ranks that know different maps under one digest.
+        record.add(ranks[0].step, ranks.map { "${it.activeDigest}/${it.activeMap.fingerprint}" })
         runningStep = true
-        val milliseconds = ranks.indices.maxOf { workMilliseconds(it) }
+        val times = ranks.indices.map { layerMilliseconds(it) }
+        val milliseconds = (0 until settings.layers).sumOf { layer -> times.maxOf { it[layer] } }
         vertx.setTimer(milliseconds.toLong().coerceAtLeast(1)) { completeStep() }
     }
 
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/RankGroupCommand.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/RankGroupCommand.kt
@@ -16,7 +16,10 @@
         .split(",")
         .required()
     private val experts by option(help = "Experts of the layer").int().default(16)
-    private val slotsPerRank by option(help = "Experts that fit on a rank").int().default(8)
+    private val layers by option(help = "Layers with experts").int().default(1)
+    private val slotsPerRank by option(help = "Experts of a layer that fit on a rank")
+        .int()
+        .default(8)
     private val stepMilliseconds by option(help = "Time of a step with even load")
         .long()
         .default(10)
@@ -38,8 +41,9 @@
             tokens = tokens,
             keepsFencing = !ignoreFencing,
             loadMilliseconds = loadMilliseconds,
+            layers = layers,
         )
-        val popularity = DriftingPopularity(experts, seed)
+        val popularity = GroupLoad(layers, experts, seed)
         if (driftMilliseconds > 0) vertx.setPeriodic(driftMilliseconds) { popularity.drift() }
         RankGroup(vertx, settings, popularity).start(ports)
         echo("rank group listens on ports $ports")
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/RankGroupFleet.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/RankGroupFleet.kt
@@ -90,12 +90,20 @@
         value?.groupValues?.get(1)?.toDouble() ?: 0.0
     }
 
+    /** Waits until the group runs a map with several copies of an expert. */
+    fun awaitReplicas(group: String) {
+        val url = "http://${fleet.address("rank-$group-0")}/v1/map/content"
+        fleet.await("an expert with several copies") {
+            JsonObject(fleet.get(url).body()).getJsonArray("copies").any { it != 1 }
+        }
+    }
+
     /** Waits until a rank of [group] holds a map that the group has not switched to. */
     fun awaitArmed(group: String) {
         fleet.await("an armed map") { ranks.any { readBack(group, it).containsKey("held") } }
     }
 
-    /** Fails when two ranks used different maps in one step. */
+    /** Fails when two ranks used different maps, by digest or by content, in one step. */
     fun expectOneDigestInEachStep(group: String) {
         val record = record(group)
         val broken = runs(group).filter { it.getJsonArray("digests").toSet().size > 1 }
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/RankGroupTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/RankGroupTest.kt
@@ -19,7 +19,10 @@
     @Test
     fun `switches under load complete with one map in each step`() {
         start(ignoreFencing = false)
-        group.withStreams { group.awaitSwitches("north", 5) }
+        group.withStreams {
+            group.awaitSwitches("north", 5)
+            group.awaitReplicas("north")
+        }
         group.expectOneDigestInEachStep("north")
     }
 
