Take urgent placement changes without cool-down and from the latest report

Cause: the worst minute of the planner at 32 x 64 is the first 20 s after a sudden shift, before any report of it. What the planner adds is the time after it: popularity smoothed over 150 s and a cool-down of 120 s keep the skew high for minutes.

Change: a report that alone predicts a skew of 1.25 or more replaces the smoothed popularity, and a change at such a skew needs no cool-down and may move 64 experts within the same budget. Smoothing is 30 s by default, in the agent too. The bench reports the shock after a shift, the skew from 90 s after a disturbance on and the time to recover.

Conclusion: the shock itself is not mended; what follows it is.

--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/ExpertPlan.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/ExpertPlan.kt
@@ -12,6 +12,7 @@
 import org.vanilladale.core.rankgroup.GroupMap
 import org.vanilladale.core.rankgroup.MapBase
 import org.vanilladale.schema.AgentSettings
+import org.vanilladale.schema.Digest
 import org.vanilladale.schema.Rank
 import org.vanilladale.schema.Timestamp
 
@@ -35,6 +36,7 @@
         RankSpeedOptions(scaleMilliseconds = settings.popularityMilliseconds),
     )
     private var layers = emptyList<Layer>()
+    private var replaced: Digest? = null
 
     /** Takes the reports up to [now] and returns a better map if there is one. */
     fun proposeOrNull(
@@ -44,6 +46,8 @@
         skewWeight: Double,
         now: Timestamp,
     ): GroupProposal? {
+        // The engine reports the old map until the switch step; an urgent change waits for no more.
+        if (content.digest == replaced) return null
         val maps = layerMapsOrNull(content) ?: return null
         if (tokens.size != content.map.expertCount) return null
         val counts = tokens.chunked(tokens.size / maps.size)
@@ -63,6 +67,7 @@
      * the layers don't switch the group in turn.
      */
     fun accepted(proposal: GroupProposal, now: Timestamp) {
+        replaced = proposal.base.digest
         val coolDown = now.deadlineAfter(options.coolDownMilliseconds)
         layers = layers.mapIndexed { index, layer ->
             val accepted = proposal.layers.getOrNull(index)
@@ -86,7 +91,7 @@
             last?.popularity ?: ExpertPopularity.even(map.expertCount, popularityOptions)
         val state = last?.state?.copy(map = map)
             ?: PlacementState(map, options.budgetFor(map.expertCount))
-        return Layer(state, popularity.observe(tokens, now))
+        return Layer(state, planner.observe(popularity, tokens, now, map, speed))
     }
 
     /** Returns the share of the tokens of all layers that each rank computes. */
--- a/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementRun.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementRun.kt
@@ -8,6 +8,7 @@
 import org.vanilladale.core.placement.ExpertMap
 import org.vanilladale.core.placement.ExpertPopularity
 import org.vanilladale.core.placement.PlacementInput
+import org.vanilladale.core.placement.PlacementPlanner
 import org.vanilladale.core.placement.PlacementProposal
 import org.vanilladale.core.placement.PlacementState
 import org.vanilladale.core.placement.RankSpeed
@@ -48,6 +49,8 @@
     private val skew = WindowedHistogram(HIGHEST_SKEW, SKEW_UNIT)
     private val ratio = WindowedHistogram(HIGHEST_SKEW, SKEW_UNIT)
     private val settledRatio = WindowedHistogram(HIGHEST_SKEW, SKEW_UNIT)
+    private val observer = PlacementPlanner(variant.options)
+    private val shifts = ShiftRecord(workload)
     private var moves = 0
     private var heldSteps = 0
     private var switches = 0
@@ -71,6 +74,9 @@
             skew.percentiles(),
             ratio.percentiles(),
             settledRatio.percentiles(),
+            shifts.shocks,
+            shifts.laterSkew,
+            shifts.recoverySeconds,
             moves,
             moves * BYTES_PER_EXPERT,
             moves,
@@ -109,8 +115,14 @@
         reports += Report(second, tokens, loads.toList(), times)
         while (reports.first().second + REPORT_LAG_SECONDS <= second) {
             val report = reports.removeFirst()
-            popularity = popularity.observe(report.tokens, at(report.second))
             speed = speed.observe(report.loads, report.times, at(report.second))
+            popularity = observer.observe(
+                popularity,
+                report.tokens,
+                at(report.second),
+                state.map,
+                speed,
+            )
         }
     }
 
@@ -128,6 +140,7 @@
             sum += time
         }
         skew.record(at(second), slowest / (sum / size.ranks))
+        shifts.record(second, slowest / (sum / size.ranks))
         ratio.record(at(second), slowest / workload.boundAt(second))
         if (workload.isSettled(second)) {
             settledRatio.record(at(second), slowest / workload.boundAt(second))
--- a/bench/src/main/kotlin/org/vanilladale/bench/placement/Workload.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/Workload.kt
@@ -49,6 +49,14 @@
     fun isSettled(second: Int): Boolean =
         (shifts + slowFrom + slowUntil).none { second - it in 0 until options.settleSeconds }
 
+    /** Returns the time since the last sudden shift, or null before the first one. */
+    fun secondsSinceShift(second: Int): Int? =
+        shifts.lastOrNull { it <= second }?.let { second - it }
+
+    /** Returns the time since the last shift or change of speed, or null before the first one. */
+    fun secondsSinceDisturbance(second: Int): Int? =
+        (shifts + slowFrom + slowUntil).filter { it <= second }.maxOrNull()?.let { second - it }
+
     private fun shiftTimes(random: Random): List<Int> = buildList {
         var next = random.nextInt(FIRST_SHIFT_SECONDS / 2, FIRST_SHIFT_SECONDS)
         while (next < seconds) {
--- a/core/src/main/kotlin/org/vanilladale/core/placement/ExpertPopularity.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/ExpertPopularity.kt
@@ -30,14 +30,20 @@
      *
      * Reports that are older than the last one, hold no tokens or have another number of experts
      * change nothing.
+     *
+     * @param restart whether the report replaces all earlier ones instead of being averaged in
      */
-    public fun observe(tokens: List<Double>, at: Timestamp): ExpertPopularity {
+    public fun observe(
+        tokens: List<Double>,
+        at: Timestamp,
+        restart: Boolean = false,
+    ): ExpertPopularity {
         val sum = tokens.sum()
         val elapsed = observedAt?.let { at.millisecondsSince(it) }
         val valid = tokens.size == expertCount && sum > 0 && tokens.all { it >= 0 }
         if (!valid || (elapsed != null && elapsed <= 0)) return this
         val observed = DoubleArray(tokens.size) { tokens[it] / sum }
-        if (elapsed == null) return ExpertPopularity(observed, at, options)
+        if (elapsed == null || restart) return ExpertPopularity(observed, at, options)
         val scale = options.scaleMilliseconds
         return ExpertPopularity(smooth(smoothed, observed, elapsed, scale), at, options)
     }
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementOptions.kt
@@ -12,6 +12,9 @@
  * @property chainStarts edits tried with a second one when no single one lowers the predicted times
  * @property chainSkew predicted skew up to which no second edit is tried: the search of pairs costs
  * several times that of single edits, and a small rest of skew isn't worth it at each plan
+ * @property urgentSkew predicted skew from which on a change needs no cool-down and a report that
+ * predicts it replaces the smoothed popularity; infinite for neither
+ * @property urgentMoves moved experts of one such change at most
  * @property allowSwaps whether two copies may change places
  * @property allowReplicas whether an expert may have several copies
  */
@@ -24,6 +27,8 @@
     val periodMilliseconds: Long = 1_800_000,
     val chainStarts: Int = 64,
     val chainSkew: Double = 1.05,
+    val urgentSkew: Double = 1.25,
+    val urgentMoves: Int = 64,
     val allowSwaps: Boolean = true,
     val allowReplicas: Boolean = true,
 ) {
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import org.vanilladale.schema.Timestamp
 
 /**
  * Improves the current map step by step: each step takes the edits of the slowest rank that lower
@@ -16,18 +17,19 @@
     public fun plan(input: PlacementInput): Either<PlacementStay, PlacementProposal> {
         val state = input.state
         if (!input.popularity.isObserved) return PlacementStay.NoReports.left()
+        val draft = draftOf(input)
+        val skewBefore = draft.skew
+        val urgent = skewBefore >= options.urgentSkew
         val coolDown = state.coolDownUntil
-        if (coolDown != null && !coolDown.hasPassed(input.now)) {
+        if (!urgent && coolDown != null && !coolDown.hasPassed(input.now)) {
             return PlacementStay.CoolingDown(coolDown).left()
         }
-        val draft = draftOf(input)
-        val skewBefore = draft.skew
         if (skewBefore <= 1 + options.tolerance) return PlacementStay.Balanced(skewBefore).left()
         val left = state.budget.left(input.now)
         if (left == 0) {
             return PlacementStay.BudgetUsed(state.budget.nextReturnOrNull(input.now)).left()
         }
-        val best = bestStage(input, draft, minOf(left, options.movesPerProposal))
+        val best = bestStage(input, draft, minOf(left, movesAtMost(urgent)))
         val gain = skewBefore - (best?.skew ?: skewBefore)
         if (best == null || gain < options.hysteresis) {
             return PlacementStay.GainUnderHysteresis(gain, options.hysteresis).left()
@@ -41,6 +43,26 @@
         ).right()
     }
 
+    /**
+     * Takes in the [tokens] of each expert counted up to [at]. When they alone predict an urgent
+     * skew for [map], the smoothed popularity is out of date and they replace it.
+     */
+    public fun observe(
+        popularity: ExpertPopularity,
+        tokens: List<Double>,
+        at: Timestamp,
+        map: ExpertMap,
+        speed: RankSpeed,
+    ): ExpertPopularity {
+        val fresh = popularity.observe(tokens, at, restart = true)
+        if (fresh === popularity) return popularity
+        val skew = PlacementDraft(map, fresh.shares().toDoubleArray(), speed).skew
+        return if (skew >= options.urgentSkew) fresh else popularity.observe(tokens, at)
+    }
+
+    private fun movesAtMost(urgent: Boolean): Int =
+        if (urgent) options.urgentMoves else options.movesPerProposal
+
     private fun bestStage(input: PlacementInput, draft: PlacementDraft, limit: Int): Stage? {
         val cost = PlacementCost(input.skewWeight, options.skewOfMove)
         val search = EditSearch(draft, options, barredCopies(input), limit)
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PopularityOptions.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PopularityOptions.kt
@@ -5,4 +5,4 @@
  *
  * @property scaleMilliseconds time scale that averages out noise and follows drift and shifts
  */
-public data class PopularityOptions(val scaleMilliseconds: Long = 150_000)
+public data class PopularityOptions(val scaleMilliseconds: Long = 30_000)
