--- a/bench/src/main/kotlin/org/vanilladale/bench/ResultFile.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/ResultFile.kt
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path
 import kotlin.io.path.createParentDirectories
+import kotlin.io.path.readText
 import kotlin.io.path.writeText
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
@@ -18,3 +19,7 @@
     path.createParentDirectories()
     path.writeText(resultJson.encodeToString(ResultFile.serializer(serializer), file) + "\n")
 }
+
+/** Reads what [writeResultFile] has written to [path]. */
+public fun <R> readResultFile(path: Path, serializer: KSerializer<R>): ResultFile<R> =
+    resultJson.decodeFromString(ResultFile.serializer(serializer), path.readText())
--- a/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementCommand.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementCommand.kt
@@ -13,6 +13,7 @@
 import org.vanilladale.bench.PairedRun
 import org.vanilladale.bench.ResultFile
 import org.vanilladale.bench.pairedRuns
+import org.vanilladale.bench.readResultFile
 import org.vanilladale.bench.seedsFrom
 import org.vanilladale.bench.writeResultFile
 
@@ -29,6 +30,8 @@
     private val variants by option(help = "names of variants").split(",")
         .default(listOf("never", "timer", "greedy", "planner"))
     private val output by option(help = "JSON result file").default("target/placement.json")
+    private val include by option(help = "result files of other runs to show as well").split(",")
+        .default(emptyList())
     private val plots by option(help = "directory for plots; none when empty").default("")
 
     override fun help(context: Context): String = "expert placement against its baselines"
@@ -39,17 +42,20 @@
             .flatMap { size -> weights.map { size to it.toDouble() } }
             .map { (size, weight) -> Callable { runsOf(size, weight, chosen) } }
         val pool = Executors.newFixedThreadPool(threads)
-        val results = try {
+        val own = try {
             pool.invokeAll(tasks).flatMap { it.get() }
         } finally {
             pool.shutdown()
         }
+        val results = own + include.flatMap {
+            readResultFile(Path.of(it), PlacementResult.serializer()).results
+        }
         val command = "placement --seed $seed --seeds $seeds --hours $hours " +
             "--sizes ${sizes.joinToString(",")} " +
             "--weights ${weights.joinToString(",")} --variants ${variants.joinToString(",")}"
         writeResultFile(
             Path.of(output),
-            ResultFile(command, chosen, results),
+            ResultFile(command, chosen, own),
             PlacementResult.serializer(),
         )
         echo("command: $command")
--- a/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementReport.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/PlacementReport.kt
@@ -15,8 +15,8 @@
 internal fun placementTable(results: List<PlacementResult>): String = buildString {
     appendLine(
         "| ranks x experts | weight | variant | skew p50 | skew p99 | worst minute | " +
-            "settled ratio p50 | settled ratio p99 | moves | moves / timer | GB | held steps | " +
-            "switches an hour | flaps |",
+            "later worst minute | recovery s | settled ratio p50 | settled ratio p99 | moves | " +
+            "moves / timer | GB | held steps | switches an hour | flaps |",
     )
     appendLine("|" + "---|".repeat(COLUMNS))
     results.groupBy { it.size to it.skewWeight }.forEach { (_, group) ->
@@ -27,7 +27,7 @@
     }
 }
 
-private const val COLUMNS = 14
+private const val COLUMNS = 16
 
 private fun row(
     any: PlacementResult,
@@ -49,6 +49,8 @@
         cell(digits = 3) { it.skew.p50 },
         cell(digits = 3) { it.skew.p99 },
         cell(digits = 3) { it.skew.worstMinute },
+        cell(digits = 3) { it.laterSkew.worstMinute },
+        cell(digits = 0) { it.recoverySeconds },
         cell(digits = 3) { it.settledRatio.p50 },
         cell(digits = 3) { it.settledRatio.p99 },
         cell(digits = 0) { it.moves.toDouble() },
@@ -66,27 +68,42 @@
     return String.format(Locale.ROOT, format, spread.median, spread.minimum, spread.maximum)
 }
 
-/** Draws settled ratio against moves, one line a variant and one point a size, per weight. */
+/**
+ * Draws figures of each size, one line a variant. The baselines ignore the weight; a variant with
+ * results of several weights has a line for each.
+ */
 internal fun plotPlacement(directory: Path, results: List<PlacementResult>) {
-    results.groupBy { it.skewWeight }.forEach { (weight, group) ->
-        listOf<Pair<String, (PlacementFigures) -> Double>>(
-            "settled-ratio-p99" to { it.settledRatio.p99 },
-            "moves" to { it.moves.toDouble() },
-        ).forEach { (name, figure) ->
-            val sizes = group.map { it.size }.distinct()
-            val lines = group.groupBy { it.variant }.map { (variant, rows) ->
-                val medians = sizes.map { size ->
+    val sizes = results.map {
+        it.size
+    }.distinct().sortedWith(compareBy({ it.ranks }, { it.experts }))
+    val weights = results.groupBy { it.variant }.mapValues { (_, rows) ->
+        rows.map { it.skewWeight }.distinct()
+    }
+    val lines = results.groupBy { row ->
+        if (weights.getValue(row.variant).size == 1) {
+            row.variant
+        } else {
+            "${row.variant}, weight ${row.skewWeight}"
+        }
+    }
+    listOf<Pair<String, (PlacementFigures) -> Double>>(
+        "settled-ratio-p99" to { it.settledRatio.p99 },
+        "worst-minute" to { it.skew.worstMinute },
+        "later-worst-minute" to { it.laterSkew.worstMinute },
+        "moves" to { it.moves.toDouble() },
+    ).forEach { (name, figure) ->
+        writeLinePlot(
+            directory.resolve("placement-$name.svg"),
+            "$name, median of seeds",
+            sizes.mapIndexed { index, size -> "${index + 1}: $size" }.joinToString("   "),
+            name,
+            lines.map { (label, rows) ->
+                val drawn = sizes.filter { size -> rows.any { it.size == size } }
+                val medians = drawn.map { size ->
                     spreadOf(rows.filter { it.size == size }.map { figure(it.figures) }).median
                 }
-                PlotLine(variant, sizes.indices.map { it + 1.0 }, medians)
-            }
-            writeLinePlot(
-                directory.resolve("placement-$name-$weight.svg"),
-                "$name at skew weight $weight, median of seeds",
-                sizes.mapIndexed { index, size -> "${index + 1}: $size" }.joinToString("   "),
-                name,
-                lines,
-            )
-        }
+                PlotLine(label, drawn.map { sizes.indexOf(it) + 1.0 }, medians)
+            },
+        )
     }
 }
--- a/bench/src/main/kotlin/org/vanilladale/bench/placement/ShiftRecord.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/placement/ShiftRecord.kt
@@ -6,6 +6,7 @@
 
 private const val HIGHEST_SKEW = 100.0
 private const val SKEW_UNIT = 0.001
+
 /** The next report interval after a shift has begun by then; the model changes loads with it. */
 private const val SHOCK_SECONDS = 2 * REPORT_SECONDS
 private const val REACTION_SECONDS = 90
--- a/core/src/test/kotlin/org/vanilladale/core/placement/PlacementPlannerTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/placement/PlacementPlannerTest.kt
@@ -135,7 +135,8 @@
 
     @Test
     fun `popularity follows a shift with its time scale and ignores old reports`() {
-        val before = ExpertPopularity.even(4).observe(List(4) { 1.0 }, at(0))
+        val before = ExpertPopularity.even(4, PopularityOptions(scaleMilliseconds = 150_000))
+            .observe(List(4) { 1.0 }, at(0))
         val after = before.observe(listOf(0.0, 0.0, 0.0, 1.0), at(150))
         val followed = (after.shareOf(ExpertId(3)) - 0.25) / 0.75
         expectThat(followed).isGreaterThan(0.63).isLessThan(0.64)
