--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -14,8 +14,12 @@
 import kotlinx.serialization.json.Json
 import org.tinylog.kotlin.Logger
 import org.vanilladale.agent.rankgroup.GroupAgent
+import org.vanilladale.agent.rollout.EngineLoads
+import org.vanilladale.agent.rollout.RolloutAgent
+import org.vanilladale.agent.rollout.RolloutPorts
 import org.vanilladale.core.configuration.configurationStateSettings
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.core.rollout.RolloutState
 import org.vanilladale.runtime.ConfigurationHolder
 import org.vanilladale.runtime.ConfigurationSpread
 import org.vanilladale.runtime.OperatorEndpoint
@@ -30,6 +34,7 @@
 import org.vanilladale.schema.Incarnation
 import org.vanilladale.schema.PoolType
 import org.vanilladale.schema.Role
+import org.vanilladale.schema.RolloutReport
 import org.vanilladale.transport.ConnectionTiming
 import org.vanilladale.transport.LocalIdentity
 import org.vanilladale.transport.PeerConnection
@@ -90,6 +95,19 @@
     )
     private val group =
         GroupAgent(settings, vertx, network, counters, { configuration.current }, slots::setSlow)
+    private val rollout = RolloutAgent(
+        settings.target,
+        EngineLoads(vertx, settings.targetUrl),
+        counters,
+        RolloutPorts(
+            { configuration.current },
+            { slots.load().let { it.running + it.waiting } },
+            { sessions.isNotEmpty() },
+            { report -> sessions.forEach { it.send(report) } },
+            ::onModels,
+            ::systemNow,
+        ),
+    )
     private val nextSession = AtomicLong()
     private val sessions = ConcurrentHashMap.newKeySet<EntrySession>()
     private val plannedStop: PlannedStop = PlannedStop(
@@ -110,7 +128,10 @@
         spread.start()
         group.start(scope)
         network.listen(scope, settings.peerAddress, ::serve)
-        if (settings.targetType == PoolType.MODEL) scope.launch { cacheEvents().run() }
+        if (settings.targetType == PoolType.MODEL) {
+            scope.launch { cacheEvents().run() }
+            rollout.start(scope)
+        }
         Logger.info { "agent: target ${settings.target} listens on ${settings.peerAddress}" }
     }
 
@@ -145,6 +166,7 @@
             runner,
             bound,
             ::refusesNewWork,
+            slots,
         )
         sessions += session
         crashes.reports.forEach { session.send(it) }
@@ -156,6 +178,7 @@
             when {
                 spread.onFrame(connection, frame) || frame is Heartbeat -> Unit
                 frame is CrashReport -> crashes.onCrashReport(frame)
+                frame is RolloutReport -> rollout.onReport(scope, frame)
                 !session.onFrame(frame) -> counters.event("frame-unexpected")
             }
         }
@@ -173,6 +196,17 @@
     /** Entries learn at once that the target takes no work, not with the next heartbeat. */
     private fun onHealth(isHealthy: Boolean) {
         slots.setHealthy(isHealthy)
+        sendLoad()
+    }
+
+    private fun onModels(state: RolloutState) {
+        val loaded = state.loaded.takeIf { state.plan != null }
+        val adapters = loaded?.adapters.orEmpty().map { it.name }
+        slots.setModels(LoadedModels(!state.serving, loaded?.version, adapters))
+        sendLoad()
+    }
+
+    private fun sendLoad() {
         sessions.forEach { it.send(Heartbeat(systemNow(), load = slots.load())) }
     }
 
@@ -198,6 +232,7 @@
             peers.filter { it.role == Role.ENTRY }.map { it.vm },
             configuration.current?.revision,
             spread.digest,
+            rollout.statusOrNull(),
         )
         return Json.encodeToString(AgentReport.serializer(), report)
     }
--- a/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/EntrySession.kt
@@ -21,6 +21,7 @@
     private val runner: AttemptRunner,
     private val bound: BoundRunner,
     private val refusesNewWork: () -> Boolean,
+    private val slots: SlotQueue,
 ) {
     private val attempts = ConcurrentHashMap<AttemptId, Job>()
 
@@ -45,7 +46,8 @@
                 binding != null -> startBound(frame, binding)
                 !frame.idempotent -> refuse(frame, RefusalReason.BINDING_REQUIRED)
                 refusesNewWork() -> refuse(frame, RefusalReason.LEAVING)
-                else -> start(frame)
+                else -> slots.modelRefusalOrNull(frame.adapter)?.let { refuse(frame, it) }
+                    ?: start(frame)
             }
             true
         }
@@ -66,7 +68,8 @@
 
     /** The agent decides itself, because an entry may not have heard that it leaves. */
     private fun refuse(submit: Submit, reason: RefusalReason) {
-        send(Refused(submit.request, submit.attempt, reason.code, reason.run))
+        val load = slots.load()
+        send(Refused(submit.request, submit.attempt, reason.code, reason.run, load = load))
     }
 
     /** The end of the connection or of the caller does not end a bound request. */
--- a/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
@@ -62,6 +62,7 @@
         .put("priority", submit.priority)
         .put("continue", submit.delivered)
         .put("prefix", submit.prefix?.text)
+        .put("adapter", submit.adapter?.text)
         .toBuffer()
 
     private fun receiveInto(request: HttpClientRequest, lines: Channel<Line>) {
@@ -93,8 +94,12 @@
                     done = done || line.json.getBoolean("done", false)
                 }
 
-                is Line.Status ->
-                    return TargetOutcome.Failed(RefusalReason.TARGET_FAILED, "status ${line.code}")
+                is Line.Status -> {
+                    // An engine without the model or adapter has not run the request.
+                    val absent = line.code == HTTP_UNAVAILABLE
+                    val reason = if (absent) RefusalReason.LOADING else RefusalReason.TARGET_FAILED
+                    return TargetOutcome.Failed(reason, "status ${line.code}")
+                }
 
                 is Line.Broken -> return TargetOutcome.Broken(line.detail)
 
@@ -110,5 +115,6 @@
 
     private companion object {
         const val HTTP_OK = 200
+        const val HTTP_UNAVAILABLE = 503
     }
 }
--- a/agent/src/main/kotlin/org/vanilladale/agent/SlotQueue.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/SlotQueue.kt
@@ -14,6 +14,7 @@
 import org.vanilladale.core.admission.ServiceTime
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.AdapterName
 import org.vanilladale.schema.Load
 import org.vanilladale.schema.Timestamp
 
@@ -55,6 +56,21 @@
         slow = value
     }
 
+    @Volatile
+    private var models = LoadedModels()
+
+    /** Sets what the target has loaded, for the load reports and the requests that come in. */
+    fun setModels(value: LoadedModels) {
+        models = value
+    }
+
+    /** Returns the reason for which the target can't run a request with [adapter], or null. */
+    fun modelRefusalOrNull(adapter: AdapterName?): RefusalReason? = when {
+        models.loading -> RefusalReason.LOADING
+        adapter != null && adapter !in models.adapters -> RefusalReason.NO_ADAPTER
+        else -> null
+    }
+
     /** Load of the target now. */
     fun load(): Load = lock.withLock { loadUnderLock() }
 
@@ -140,6 +156,9 @@
         serviceMicroseconds = serviceTime.microseconds,
         healthy = healthy,
         slow = slow,
+        loading = models.loading,
+        version = models.version,
+        adapters = models.adapters,
     )
 
     private fun microsecondsSince(startedAt: Long): Long =
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rollout/EngineLoads.kt
@@ -0,0 +1,87 @@
+package org.vanilladale.agent.rollout
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.json.DecodeException
+import io.vertx.core.json.JsonObject
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import org.vanilladale.core.rollout.EngineModels
+import org.vanilladale.core.rollout.LoadCommand
+import org.vanilladale.core.rollout.LoadFailure
+import org.vanilladale.core.rollout.LoadRefusal
+import org.vanilladale.core.rollout.LoadResult
+import org.vanilladale.runtime.runCatchingIo
+import org.vanilladale.schema.Adapter
+import org.vanilladale.schema.AdapterName
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.ModelName
+import org.vanilladale.schema.ModelVersion
+
+/** Calls the load commands of a model engine. */
+internal class EngineLoads(vertx: Vertx, private val engineUrl: String) {
+    private val client = WebClient.create(vertx)
+
+    /** Reads what is loaded, or returns null when the engine does not tell. */
+    suspend fun readOrNull(): EngineModels? {
+        val response = runCatchingIo {
+            client.getAbs("$engineUrl/v1/models").timeout(READ_MILLISECONDS).send().coAwait()
+        }
+        return response?.takeIf {
+            it.statusCode() == HTTP_OK
+        }?.let { bodyOrNull(it) }?.let(::models)
+    }
+
+    /**
+     * Sends [command] and waits for its end, without a time limit: a load that was given up here
+     * could still take effect in the engine.
+     */
+    suspend fun send(command: LoadCommand): LoadResult {
+        val body = JsonObject()
+            .put("fence", command.fence.value)
+            .put("name", command.name)
+            .put("version", command.version.text)
+        val response = runCatchingIo {
+            client.postAbs(
+                "$engineUrl/v1/models/${command.kind.code}",
+            ).sendJsonObject(body).coAwait()
+        } ?: return LoadResult.Failed(LoadFailure.ENGINE_UNREACHABLE)
+        return when (response.statusCode()) {
+            HTTP_NO_CONTENT -> LoadResult.Completed
+            HTTP_CONFLICT -> LoadResult.Refused(LoadRefusal.FENCED)
+            else -> failed(bodyOrNull(response))
+        }
+    }
+
+    private fun failed(body: JsonObject?) = LoadResult.Failed(
+        LoadFailure.fromCode(body?.getString("reason")),
+        body?.getLong("retryAt")?.let { Deadline.fromEpochMilliseconds(it) },
+    )
+
+    private fun models(json: JsonObject) = EngineModels(
+        json.getString("model")?.let(ModelName::parseOrNull),
+        json.getString("version")?.let(ModelVersion::parseOrNull),
+        json.getJsonArray("adapters")?.mapNotNull { adapterOrNull(it as JsonObject) }.orEmpty(),
+        json.getBoolean("loading", false),
+    )
+
+    private fun adapterOrNull(json: JsonObject): Adapter? {
+        val name = AdapterName.parseOrNull(json.getString("name", "")) ?: return null
+        val version = ModelVersion.parseOrNull(json.getString("version", "")) ?: return null
+        return Adapter(name, version)
+    }
+
+    private fun bodyOrNull(response: HttpResponse<Buffer>): JsonObject? = try {
+        response.bodyAsJsonObject()
+    } catch (_: DecodeException) {
+        null
+    }
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val HTTP_NO_CONTENT = 204
+        const val HTTP_CONFLICT = 409
+        const val READ_MILLISECONDS = 1_000L
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rollout/RolloutAgent.kt
@@ -0,0 +1,150 @@
+package org.vanilladale.agent.rollout
+
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.tinylog.kotlin.Logger
+import org.vanilladale.core.rollout.LoadCommand
+import org.vanilladale.core.rollout.LoadResult
+import org.vanilladale.core.rollout.Rollout
+import org.vanilladale.core.rollout.RolloutAction
+import org.vanilladale.core.rollout.RolloutEvent
+import org.vanilladale.core.rollout.RolloutOptions
+import org.vanilladale.core.rollout.RolloutPlan
+import org.vanilladale.core.rollout.RolloutState
+import org.vanilladale.runtime.SystemCounters
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.RolloutReport
+import org.vanilladale.schema.RolloutStatus
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.TargetRollout
+
+/** Brings the engine of this target to what the tables ask for, in the target's turn. */
+internal class RolloutAgent(
+    target: TargetId,
+    private val engine: EngineLoads,
+    private val counters: SystemCounters,
+    private val ports: RolloutPorts,
+) {
+    private val lock = Any()
+    private val rollout = Rollout(RolloutOptions(), Random.Default)
+    private var state = RolloutState(target, ports.clock())
+
+    /** Current state. */
+    val current: RolloutState get() = synchronized(lock) { state }
+
+    /** Follows tables and engine until [scope] is cancelled. */
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (isActive) {
+                val plan = planInForce()
+                apply(scope, RolloutEvent.PlanAccepted(plan))
+                if (plan != null) {
+                    apply(scope, RolloutEvent.EngineRead(engine.readOrNull()))
+                    val tick = RolloutEvent.Tick(ports.inFlight(), ports.isConnected())
+                    apply(scope, tick)
+                }
+                delay(TICK_MILLISECONDS)
+            }
+        }
+    }
+
+    /** Takes statements of other targets and passes on what was new. */
+    fun onReport(scope: CoroutineScope, report: RolloutReport) {
+        if (report.pool != current.plan?.pool) return
+        val before = current.heard
+        report.targets.forEach { apply(scope, RolloutEvent.Heard(it)) }
+        val after = current.heard
+        val news = report.targets.filter { after[it.target] !== before[it.target] }
+        if (news.isNotEmpty()) ports.publish(report.copy(targets = news))
+    }
+
+    /** Describes the rollout for operators; null when the tables name no version. */
+    fun statusOrNull(): RolloutStatus? {
+        val shown = current
+        val plan = shown.plan ?: return null
+        val phase = shown.phase ?: return null
+        return RolloutStatus(
+            plan.pool,
+            plan.revision,
+            phase,
+            shown.serving,
+            plan.version,
+            plan.adapters,
+            shown.loaded?.adapters.orEmpty(),
+            shown.failures,
+            shown.loaded?.version,
+            shown.failure?.code,
+            shown.retryAt,
+            rollout.waitingFor(shown, ports.clock()),
+        )
+    }
+
+    private fun planInForce(): RolloutPlan? =
+        ports.tables()?.let { RolloutPlan.fromTablesOrNull(it, current.target) }
+
+    private fun apply(scope: CoroutineScope, event: RolloutEvent) {
+        val (before, step) = synchronized(lock) {
+            val before = state
+            val step = rollout.decide(before, event, ports.clock())
+            state = step.state
+            before to step
+        }
+        if (before.serving != step.state.serving || before.loaded != step.state.loaded ||
+            before.plan != step.state.plan
+        ) {
+            ports.onChange(step.state)
+        }
+        step.actions.forEach { action ->
+            when (action) {
+                is RolloutAction.State -> publish(step.state.plan?.pool, action.statement)
+                is RolloutAction.Send -> scope.launch { send(scope, action.command) }
+            }
+        }
+    }
+
+    private fun publish(pool: PoolName?, statement: TargetRollout) {
+        if (pool == null) return
+        ports.publish(RolloutReport(pool, listOf(statement)))
+    }
+
+    /** The tables and the lease are looked at again, because a pause may lie before this line. */
+    private suspend fun send(scope: CoroutineScope, command: LoadCommand) {
+        val refusal = current.refusalOrNull(command, planInForce(), ports.clock())
+        val result = if (refusal == null) {
+            Logger.info { "rollout: ${command.kind.code} ${command.name} ${command.version} sent" }
+            engine.send(command)
+        } else {
+            LoadResult.Refused(refusal)
+        }
+        count(command, result)
+        apply(scope, RolloutEvent.CommandEnded(command, result, engine.readOrNull()))
+    }
+
+    private fun count(command: LoadCommand, result: LoadResult) {
+        val what = "${command.kind.code} ${command.name} ${command.version}"
+        when (result) {
+            LoadResult.Completed -> {
+                counters.loaded(command.kind)
+                Logger.info { "rollout: $what completed" }
+            }
+
+            is LoadResult.Failed -> {
+                counters.loadRetried(result.reason)
+                Logger.warn { "rollout: $what failed, ${result.reason.code}; it is tried again" }
+            }
+
+            is LoadResult.Refused -> {
+                counters.loadRefused(result.reason)
+                Logger.warn { "rollout: $what was not run, ${result.reason.code}" }
+            }
+        }
+    }
+
+    private companion object {
+        /** Far below the pause that counts as a gap. */
+        const val TICK_MILLISECONDS = 250L
+    }
+}
--- a/core/src/main/kotlin/org/vanilladale/core/configuration/TableFaults.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/configuration/TableFaults.kt
@@ -30,6 +30,7 @@
         }
     }
     tables.pools.forEachIndexed { index, pool -> faults += poolFaults("pools[$index]", pool) }
+    faults += sharedTargetFaults(tables.pools)
     faults += duplicateFaults("routes", "name", tables.routes.map { it.name.text })
     faults += duplicateFaults("routes", "kind", tables.routes.map { it.kind.text })
     faults += duplicateFaults("pools", "name", tables.pools.map { it.name.text })
@@ -112,6 +113,7 @@
     if (pool.type == PoolType.MODEL && pool.model == null) {
         add(TableFault("$place.model", "nothing", "name the model that the pool serves"))
     }
+    addAll(loadFaults(place, pool))
     addAll(duplicateFaults("$place.targets", "target", pool.targets.map { it.target.text }))
     pool.targets.forEachIndexed { index, target ->
         if ((target.group == null) != (target.rank == null)) {
@@ -128,7 +130,11 @@
     addAll(duplicateFaults("$place.targets", "rank", ranks))
 }
 
-private fun duplicateFaults(place: String, field: String, values: List<String>): List<TableFault> =
+internal fun duplicateFaults(
+    place: String,
+    field: String,
+    values: List<String>,
+): List<TableFault> =
     values.withIndex().groupBy { it.value }.values.filter { it.size > 1 }.map { same ->
         TableFault(
             "$place[${same.last().index}].$field",
--- a/core/src/main/kotlin/org/vanilladale/core/configuration/TableValueCheck.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/configuration/TableValueCheck.kt
@@ -2,9 +2,11 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.descriptors.SerialDescriptor
+import org.vanilladale.schema.AdapterName
 import org.vanilladale.schema.DataCentreName
 import org.vanilladale.schema.GroupId
 import org.vanilladale.schema.ModelName
+import org.vanilladale.schema.ModelVersion
 import org.vanilladale.schema.PoolName
 import org.vanilladale.schema.RequestKind
 import org.vanilladale.schema.RouteName
@@ -12,9 +14,11 @@
 import org.vanilladale.schema.TargetId
 
 private val parsers: Map<String, (String) -> Any> = mapOf(
+    "AdapterName" to AdapterName::parse,
     "DataCentreName" to DataCentreName::parse,
     "GroupId" to GroupId::parse,
     "ModelName" to ModelName::parse,
+    "ModelVersion" to ModelVersion::parse,
     "PoolName" to PoolName::parse,
     "RequestKind" to RequestKind::parse,
     "RouteName" to RouteName::parse,
--- a/core/src/main/kotlin/org/vanilladale/core/configuration/TablesDigest.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/configuration/TablesDigest.kt
@@ -8,7 +8,10 @@
 // Defaults are written out so that a row with an explicit default equals one that omits it.
 private val canonicalJson = Json { encodeDefaults = true }
 
-/** Returns the SHA-256 over the canonical form of [tables]; the order of rows doesn't matter. */
+/**
+ * Returns the SHA-256 over the canonical form of [tables]; the order of rows, targets and adapters
+ * doesn't matter.
+ */
 public fun digestOf(tables: Tables): Digest {
     val bytes = canonicalJson.encodeToString(Tables.serializer(), sortedRows(tables)).toByteArray()
     val hash = MessageDigest.getInstance("SHA-256").digest(bytes)
@@ -18,6 +21,9 @@
 private fun sortedRows(tables: Tables): Tables = tables.copy(
     routes = tables.routes.sortedBy { it.name.text },
     pools = tables.pools.sortedBy { it.name.text }.map { pool ->
-        pool.copy(targets = pool.targets.sortedBy { it.target.text })
+        pool.copy(
+            targets = pool.targets.sortedBy { it.target.text },
+            adapters = pool.adapters.sortedBy { it.name.text },
+        )
     },
 )
--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
@@ -119,6 +119,13 @@
         RunState.UNKNOWN,
         "Resume with the request key and the offset that you hold.",
     ),
+    LOADING("loading", 503, RunState.NO, "Retry later; the target loads a model version."),
+    NO_ADAPTER(
+        "no-adapter",
+        503,
+        RunState.NO,
+        "Name an adapter of the pool, or retry once a target has loaded it.",
+    ),
     NOT_AUTHORIZED("not-authorized", 401, RunState.NO, "Send the operator token."),
     ;
 
--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RetryReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RetryReason.kt
@@ -12,6 +12,7 @@
     NO_PROGRESS("no-progress"),
     TARGET_OVERLOADED("target-overloaded"),
     TARGET_LEAVING("target-leaving"),
+    TARGET_LOADING("target-loading"),
     TARGET_FAILED("target-failed"),
     HEDGE("hedge"),
 }
--- a/core/src/main/kotlin/org/vanilladale/core/retry/RetryDecision.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/retry/RetryDecision.kt
@@ -35,6 +35,9 @@
 
             RefusalReason.LEAVING -> RetryReason.TARGET_LEAVING
 
+            // The target lost its version or adapter after its last report; others may have it.
+            RefusalReason.LOADING, RefusalReason.NO_ADAPTER -> RetryReason.TARGET_LOADING
+
             RefusalReason.TARGET_FAILED -> RetryReason.TARGET_FAILED
 
             else -> null
@@ -61,11 +64,14 @@
     /** Attempts at one request, the first one counted in. */
     public const val MAXIMUM_ATTEMPTS: Int = 3
 
+    private val planned = setOf(RetryReason.TARGET_LEAVING, RetryReason.TARGET_LOADING)
+
     /**
      * Returns the next attempt, or the refusal for the caller.
      *
-     * A non-idempotent request never gets another target. The refusal of a leaving target costs the
-     * budget nothing: it is no sign of overload, and a planned stop has to go unnoticed.
+     * A non-idempotent request never gets another target. The refusal of a leaving or loading
+     * target costs the budget nothing: it is no sign of overload, and planned stops and rollouts
+     * have to go unnoticed.
      *
      * @param choose picks a target that is not in the given set, as [Either] of TargetChoice
      */
@@ -84,7 +90,7 @@
         }
         val target = choose(request.tried).getOrNull()
         ensure(target != null && target !in request.tried) { failure.refusal }
-        ensure(reason == RetryReason.TARGET_LEAVING || budget.tryTake(now)) {
+        ensure(reason in planned || budget.tryTake(now)) {
             Refusal(
                 RefusalReason.RETRY_BUDGET_EMPTY,
                 failure.refusal.run,
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/rollout/LoadCommand.kt
@@ -0,0 +1,56 @@
+package org.vanilladale.core.rollout
+
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.ModelVersion
+import org.vanilladale.schema.Revision
+
+/** What a command asks of an engine. */
+public enum class LoadCommandKind(public val code: String) {
+    /** Replaces the model version, which drops all adapters. */
+    LOAD_MODEL("load-model"),
+    LOAD_ADAPTER("load-adapter"),
+    UNLOAD_ADAPTER("unload-adapter"),
+}
+
+/**
+ * A command to an engine; running it twice has the effect of running it once.
+ *
+ * @property name name of the model or adapter
+ * @property plan plan that the command belongs to
+ * @property fence fencing number: the revision of the plan
+ * @property validUntil end of the lease under which the command may be sent
+ */
+public data class LoadCommand(
+    val kind: LoadCommandKind,
+    val name: String,
+    val version: ModelVersion,
+    val plan: Long,
+    val fence: Revision,
+    val validUntil: Deadline,
+) {
+    /** True when the target can't serve while the command runs. */
+    val takesTargetAway: Boolean get() = kind == LoadCommandKind.LOAD_MODEL
+
+    public companion object {
+        /** Returns the next command that brings an engine with [loaded] to [plan], or null. */
+        public fun nextOrNull(
+            plan: RolloutPlan,
+            loaded: EngineModels,
+            validUntil: Deadline,
+        ): LoadCommand? {
+            fun command(kind: LoadCommandKind, name: String, version: ModelVersion) =
+                LoadCommand(kind, name, version, plan.id, plan.revision, validUntil)
+            if (loaded.model != plan.model || loaded.version != plan.version) {
+                return command(LoadCommandKind.LOAD_MODEL, plan.model.text, plan.version)
+            }
+            val missing = plan.adapters.firstOrNull { it !in loaded.adapters }
+            if (missing != null) {
+                return command(LoadCommandKind.LOAD_ADAPTER, missing.name.text, missing.version)
+            }
+            val names = plan.adapters.map { it.name }.toSet()
+            return loaded.adapters.firstOrNull { it.name !in names }?.let {
+                command(LoadCommandKind.UNLOAD_ADAPTER, it.name.text, it.version)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/rollout/Rollout.kt
@@ -0,0 +1,215 @@
+package org.vanilladale.core.rollout
+
+import kotlin.random.Random
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.RolloutPhase
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.TargetRollout
+import org.vanilladale.schema.Timestamp
+
+/**
+ * Decides for one agent when its engine loads what the tables ask for.
+ *
+ * Agents share no state. Each one orders the targets of its pool by rendezvous hashing over the
+ * plan and waits for its turn by what entries pass on of the others; see
+ * docs/decisions/model-rollout.md.
+ */
+public class Rollout(private val options: RolloutOptions, private val random: Random) {
+    private val turn = LoadTurn(options)
+
+    /** Applies [event] to [state]. */
+    public fun decide(state: RolloutState, event: RolloutEvent, now: Timestamp): RolloutStep {
+        val changed = when (event) {
+            is RolloutEvent.PlanAccepted -> onPlan(state, event.plan, now)
+            is RolloutEvent.EngineRead -> onEngine(state, event.loaded, now)
+            is RolloutEvent.Heard -> onHeard(state, event.statement, now)
+            is RolloutEvent.CommandEnded -> onEnded(state, event, now)
+            is RolloutEvent.Tick -> onTick(state, event, now)
+        }
+        return stated(changed, now)
+    }
+
+    /** Returns the targets that keep the target of [state] from loading now. */
+    public fun waitingFor(state: RolloutState, now: Timestamp): List<TargetId> =
+        if (state.phase == RolloutPhase.WAITING) turn.waitingFor(state, now) else emptyList()
+
+    private fun onPlan(state: RolloutState, plan: RolloutPlan?, now: Timestamp): RolloutStep {
+        val old = state.plan
+        if (plan != null && old != null && plan.revision < old.revision) return unchanged(state)
+        if (plan?.id == old?.id) return unchanged(state.copy(plan = plan))
+        // A turn belongs to its plan; a command that runs is awaited, but no other one follows it.
+        val stage = state.stage.takeIf { it is LoadStage.Running } ?: LoadStage.Idle
+        val changed = state.copy(
+            plan = plan,
+            stage = stage,
+            failures = 0,
+            failure = null,
+            retryAt = null,
+        )
+        // Without a plan before, others have not heard of this target.
+        return unchanged(if (old == null) listening(changed, now) else changed)
+    }
+
+    private fun onEngine(state: RolloutState, loaded: EngineModels?, now: Timestamp): RolloutStep {
+        // The end of the command tells what it brought about; a read from before it would not.
+        if (state.stage is LoadStage.Running) return unchanged(state)
+        val changed = state.copy(loaded = loaded)
+        val passedOver =
+            state.phase == RolloutPhase.DONE || state.phase == RolloutPhase.UNREACHABLE
+        val lost = changed.phase == RolloutPhase.WAITING &&
+            (passedOver || state.serving && !changed.serving)
+        return unchanged(if (lost) listening(changed, now) else changed)
+    }
+
+    private fun onHeard(
+        state: RolloutState,
+        statement: TargetRollout,
+        now: Timestamp,
+    ): RolloutStep {
+        val held = state.heard[statement.target]
+        val age = held?.let { now.epochMilliseconds - it.heardAt.epochMilliseconds } ?: 0
+        val replaces = held == null || statement.statedAt > held.statement.statedAt ||
+            age >= options.silenceMilliseconds
+        if (!replaces || statement.target == state.target) return unchanged(state)
+        val entry = statement.target to HeardStatement(statement, now)
+        return unchanged(state.copy(heard = state.heard + entry))
+    }
+
+    private fun onEnded(
+        state: RolloutState,
+        event: RolloutEvent.CommandEnded,
+        now: Timestamp,
+    ): RolloutStep {
+        if ((state.stage as? LoadStage.Running)?.command != event.command) return unchanged(state)
+        val ended = state.copy(stage = LoadStage.Idle, loaded = event.loaded)
+        return when (val result = event.result) {
+            LoadResult.Completed -> {
+                val clean = ended.copy(failures = 0, failure = null, retryAt = null)
+                if (event.command.plan == state.plan?.id) next(clean, now) else unchanged(clean)
+            }
+
+            is LoadResult.Failed -> unchanged(failed(ended, result, now))
+
+            is LoadResult.Refused -> unchanged(
+                ended.copy(retryAt = now.deadlineAfter(pauseMilliseconds(1))),
+            )
+        }
+    }
+
+    private fun failed(
+        state: RolloutState,
+        result: LoadResult.Failed,
+        now: Timestamp,
+    ): RolloutState {
+        val failures = state.failures + 1
+        val pause = pauseMilliseconds(failures)
+        val named = result.retryAt?.millisecondsLeft(now) ?: 0
+        return state.copy(
+            failures = failures,
+            failure = result.reason,
+            // The part of the pause spreads readers that were told the same time.
+            retryAt = now.deadlineAfter(if (named > 0) named + pause / 2 else pause),
+        )
+    }
+
+    private fun onTick(state: RolloutState, tick: RolloutEvent.Tick, now: Timestamp): RolloutStep {
+        val gap = now.epochMilliseconds - state.lastTickAt.epochMilliseconds
+        val paused = gap > options.pauseMilliseconds || !tick.connected
+        val current = (if (paused) listening(state, now) else state).copy(lastTickAt = now)
+        return when (val stage = current.stage) {
+            LoadStage.Idle -> if (mayStart(
+                    current,
+                    now,
+                )
+            ) {
+                start(current, now)
+            } else {
+                unchanged(current)
+            }
+
+            is LoadStage.Draining ->
+                if (tick.inFlight == 0 || stage.until.hasPassed(now)) {
+                    next(current, now)
+                } else {
+                    unchanged(current)
+                }
+
+            is LoadStage.Running -> unchanged(current)
+        }
+    }
+
+    private fun mayStart(state: RolloutState, now: Timestamp): Boolean {
+        val listened = now.epochMilliseconds - state.listenedSince.epochMilliseconds
+        return state.phase == RolloutPhase.WAITING &&
+            state.retryAt?.hasPassed(now) != false &&
+            listened >= options.settleMilliseconds &&
+            turn.waitingFor(state, now).isEmpty()
+    }
+
+    private fun start(state: RolloutState, now: Timestamp): RolloutStep {
+        val command = state.nextCommandOrNull(now.deadlineAfter(options.leaseMilliseconds))
+        val serves = state.loaded?.version != null
+        if (command == null || !command.takesTargetAway || !serves) return next(state, now)
+        val until = now.deadlineAfter(options.drainMilliseconds)
+        return unchanged(state.copy(stage = LoadStage.Draining(until)))
+    }
+
+    private fun next(state: RolloutState, now: Timestamp): RolloutStep {
+        val command = state.nextCommandOrNull(now.deadlineAfter(options.leaseMilliseconds))
+            ?: return unchanged(state.copy(stage = LoadStage.Idle))
+        val running = state.copy(stage = LoadStage.Running(command))
+        return RolloutStep(running, listOf(RolloutAction.Send(command)))
+    }
+
+    /** After a gap nothing that was heard before counts, and a turn that was not used is lost. */
+    private fun listening(state: RolloutState, now: Timestamp): RolloutState = state.copy(
+        heard = emptyMap(),
+        listenedSince = now,
+        stage = if (state.stage is LoadStage.Draining) LoadStage.Idle else state.stage,
+    )
+
+    /** Adds the statement that the others need before the actions of [step]. */
+    private fun stated(step: RolloutStep, now: Timestamp): RolloutStep {
+        val state = step.state
+        val plan = state.plan ?: return step
+        val phase = state.phase ?: return step
+        val last = state.stated
+        val news = last == null || last.plan != plan.id || last.phase != phase ||
+            last.serving != state.serving
+        val onTheWay = phase == RolloutPhase.WAITING || phase == RolloutPhase.LOADING
+        val due = state.restateAt?.hasPassed(now) != false &&
+            (onTheWay || turn.hearsRollout(state, now))
+        if (!news && !due) return step
+        val latest = (last?.statedAt?.epochMilliseconds ?: 0) + 1
+        val statement = TargetRollout(
+            state.target,
+            plan.revision,
+            phase,
+            state.serving,
+            Timestamp.fromEpochMilliseconds(maxOf(now.epochMilliseconds, latest)),
+            plan.id,
+        )
+        return RolloutStep(
+            state.copy(
+                stated = statement,
+                restateAt = now.deadlineAfter(options.restateMilliseconds),
+            ),
+            listOf(RolloutAction.State(statement)) + step.actions,
+        )
+    }
+
+    /** Doubles with each failure; the random part keeps targets from retrying in step. */
+    private fun pauseMilliseconds(failures: Int): Long {
+        val doublings = (failures - 1).coerceIn(0, MAXIMUM_DOUBLINGS)
+        val pause = (options.firstPauseMilliseconds shl doublings)
+            .coerceAtMost(options.longestPauseMilliseconds)
+        return pause / 2 + random.nextLong(pause / 2 + 1)
+    }
+
+    private fun unchanged(state: RolloutState) = RolloutStep(state, emptyList())
+
+    private companion object {
+        /** Keeps the shift far from the sign bit. */
+        const val MAXIMUM_DOUBLINGS = 20
+    }
+}
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetChoice.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetChoice.kt
@@ -6,6 +6,7 @@
 import kotlin.random.Random
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.AdapterName
 import org.vanilladale.schema.PrefixId
 import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.Timestamp
@@ -15,12 +16,14 @@
  *
  * @property candidates the entry's subset of the pool
  * @property tried targets that this request must not go to again
+ * @property adapter adapter that the target must have loaded; null for the model alone
  */
 public data class ChoiceRequest(
     val candidates: List<TargetId>,
     val now: Timestamp,
     val prefix: PrefixId? = null,
     val tried: Set<TargetId> = emptySet(),
+    val adapter: AdapterName? = null,
 )
 
 /** Picks one of the usable targets, of which there is at least one. */
@@ -28,9 +31,18 @@
 
 /** Chooses the target of an attempt with [policy] among the usable candidates. */
 public class TargetChoice(private val view: TargetLoadView, private val policy: TargetPolicy) {
-    /** Returns the target, or the refusal `no-target` when no candidate is left. */
+    /**
+     * Returns the target, or the refusal `no-target` when no candidate is left, `no-adapter` when
+     * none of them has the adapter loaded.
+     */
     public fun choose(request: ChoiceRequest): Either<Refusal, TargetId> {
-        val untried = request.candidates.filter { it !in request.tried }
+        val adapter = request.adapter
+        val able = request.candidates.filter { adapter == null || holds(it, adapter) }
+        if (adapter != null && able.isEmpty()) {
+            val detail = "no target in use has the adapter '$adapter' loaded"
+            return Refusal(RefusalReason.NO_ADAPTER, detail = detail).left()
+        }
+        val untried = able.filter { it !in request.tried }
         val states = untried.groupBy { view.stateOf(it, request.now) }
         val usable = states[TargetState.READY] ?: states[TargetState.SLOW]
             ?: return Refusal(
@@ -40,6 +52,10 @@
             ).left()
         return policy(usable, request).right()
     }
+
+    /** An old report counts too: the agent refuses when the adapter has gone since. */
+    private fun holds(target: TargetId, adapter: AdapterName): Boolean =
+        view.lastReportOrNull(target)?.adapters.orEmpty().contains(adapter)
 }
 
 /** Returns the policy of two random choices by load. */
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
@@ -68,6 +68,9 @@
     public fun reportOrNull(target: TargetId, now: Timestamp): Load? =
         rows[target]?.let { row -> row.load?.takeIf { weight(row, it, now) > 0.0 } }
 
+    /** Returns the last report of [target] of any age. */
+    public fun lastReportOrNull(target: TargetId): Load? = rows[target]?.load
+
     /** Returns the time on the own clock at which [target] stamped something [theirs]. */
     public fun ownTimeOf(target: TargetId, theirs: Timestamp, now: Timestamp): Timestamp {
         val age = rows[target]?.delay?.ageOf(theirs, now) ?: 0
@@ -111,7 +114,8 @@
         val row = rows[target] ?: return TargetState.READY
         val leaving = row.leavingAt?.hasPassed(now) == true
         val unavailable = row.unavailableUntil?.hasPassed(now) == false
-        val unhealthy = reportOrNull(target, now)?.healthy == false
+        val report = reportOrNull(target, now)
+        val unhealthy = report?.healthy == false || report?.loading == true
         return when {
             leaving || unavailable || unhealthy -> TargetState.UNAVAILABLE
             row.slowUntil?.hasPassed(now) == false -> TargetState.SLOW
--- a/core/src/test/kotlin/org/vanilladale/core/configuration/TablesCheckTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/configuration/TablesCheckTest.kt
@@ -122,6 +122,47 @@
         ),
     )
 
+    private val versioned = pool.with(
+        "\"service\"",
+        "\"model\",\"model\":\"m\",\"version\":\"v1\"",
+    )
+    private val adapter = """{"name":"a","version":"1"}"""
+
+    private val versionCases = listOf(
+        Case(
+            "a version, adapters and a share of nothing in a service pool",
+            "[$route]",
+            "[${pool.with(
+                "\"type\"",
+                """"version":"v","adapters":[$adapter],
+                "loadSharePercent":0,"type"""",
+            )}]",
+            "pools[0].version",
+            "pools[0].adapters",
+            "pools[0].loadSharePercent",
+        ),
+        Case(
+            "an unreadable version beside an adapter twice",
+            "[${route.with("false", "true")}]",
+            "[${versioned.with("\"v1\"", "7,\"adapters\":[$adapter,$adapter]")}]",
+            "pools[0].version",
+            "pools[0].adapters[1].name",
+        ),
+        Case(
+            "adapters without the version of their model",
+            "[${route.with("false", "true")}]",
+            "[${versioned.with("\"version\":\"v1\"", "\"adapters\":[$adapter]")}]",
+            "pools[0].version",
+        ),
+        Case(
+            "a target that two model pools want to load",
+            "[${route.with("false", "true")}]",
+            "[$versioned, ${versioned.with("\"p\"", "\"q\"").with("v1", "v2")}]",
+            "pools[0].targets[0].target",
+            "pools[1].targets[0].target",
+        ),
+    )
+
     @Test
     fun `valid tables are joined`() {
         val joined = readTables(Revision(7), "[$route]", "[$pool]").getOrNull()
@@ -130,7 +171,7 @@
 
     @Test
     fun `faults of all kinds come at once and without follow-up faults`() {
-        val cases = rowCases + joinCases + valueCases
+        val cases = rowCases + joinCases + valueCases + versionCases
         cases.forEach { case ->
             expectThat(places(case.routes, case.pools)).describedAs(case.name)
                 .containsExactlyInAnyOrder(case.places)
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/rollout/RolloutTest.kt
@@ -0,0 +1,187 @@
+package org.vanilladale.core.rollout
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.RolloutPhase.DONE
+import org.vanilladale.schema.RolloutPhase.LOADING
+import org.vanilladale.schema.RolloutPhase.UNREACHABLE
+import org.vanilladale.schema.RolloutPhase.WAITING
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+/** Guards against a load out of turn, after a lost turn, or for a plan that no longer holds. */
+class RolloutTest {
+    private val second = plan("v2", 2)
+
+    @Test
+    fun `a target loads only after those before it in the order are done`() {
+        val agent = OneAgent(second, place = 2)
+        agent.hear(second) { if (it == 0) DONE else WAITING }
+        agent.tick()
+        expectThat(agent.sent).isEmpty()
+        agent.hear(second) { if (it < 2) DONE else WAITING }
+        agent.tick()
+        expectThat(agent.state.serving).isFalse()
+        agent.tick(inFlight = 1)
+        expectThat(agent.sent).isEmpty()
+        agent.tick(inFlight = 0)
+        expectThat(agent.sent).hasSize(1)
+        expectThat(agent.sent.single().fence).isEqualTo(second.revision)
+    }
+
+    @Test
+    fun `a target whose plan is not known holds up even those before it in the order`() {
+        val agent = OneAgent(second, place = 0)
+        agent.hear(plan("v1", 1)) { WAITING }
+        agent.tick()
+        expectThat(agent.state.phase).isEqualTo(WAITING)
+        agent.hear(second) { WAITING }
+        agent.tick()
+        expectThat(agent.state.phase).isEqualTo(LOADING)
+    }
+
+    @Test
+    fun `dead targets hold up no others once they are silent`() {
+        val agent = OneAgent(second, place = 3)
+        repeat(3) {
+            agent.hear(second) { place -> listOf(DONE, UNREACHABLE).getOrNull(place) }
+            agent.tick()
+        }
+        expectThat(agent.state.phase).isEqualTo(WAITING)
+        repeat(4) { agent.tick() }
+        expectThat(agent.state.phase).isEqualTo(LOADING)
+    }
+
+    @Test
+    fun `an empty target goes before serving ones and waits for loads`() {
+        val agent = OneAgent(second, place = 3)
+        agent.engine(null)
+        repeat(8) {
+            agent.hear(second) { place -> if (place == 1) LOADING else WAITING }
+            agent.tick()
+        }
+        expectThat(agent.sent).isEmpty()
+        agent.hear(second) { WAITING }
+        agent.tick()
+        expectThat(agent.sent).hasSize(1)
+    }
+
+    @Test
+    fun `a serving target waits for an empty one behind it in the order`() {
+        val agent = OneAgent(second, place = 0)
+        agent.hear(second, serving = false) { WAITING }
+        agent.tick()
+        expectThat(agent.state.phase).isEqualTo(WAITING)
+    }
+
+    @Test
+    fun `a pause loses the turn and what was heard before`() {
+        val agent = OneAgent(second, place = 0)
+        agent.hear(second) { WAITING }
+        agent.tick(inFlight = 1)
+        agent.tick(inFlight = 1)
+        expectThat(agent.state.stage is LoadStage.Draining).isTrue()
+        agent.now += 60_000
+        agent.tick()
+        agent.tick()
+        expectThat(agent.sent).isEmpty()
+        expectThat(agent.state.heard.keys).isEmpty()
+        expectThat(agent.state.serving).isTrue()
+    }
+
+    @Test
+    fun `a command is not sent after its lease or for another plan`() {
+        val agent = OneAgent(second, place = 0)
+        agent.hear(second) { WAITING }
+        repeat(2) { agent.tick() }
+        val command = agent.sent.single()
+        fun refusal(inForce: RolloutPlan) =
+            agent.state.refusalOrNull(command, inForce, agent.time())
+        expectThat(refusal(second)).isNull()
+        expectThat(refusal(second.copy(revision = plan("v3", 9).revision))).isNull()
+        expectThat(refusal(plan("v3", 3))).isEqualTo(LoadRefusal.REVISION_CHANGED)
+        agent.now += 2_000
+        expectThat(refusal(second)).isEqualTo(LoadRefusal.LEASE_PASSED)
+    }
+
+    @Test
+    fun `a revision during a load redirects the target after the load and in its turn`() {
+        val agent = OneAgent(second, place = 0)
+        agent.hear(second) { WAITING }
+        repeat(2) { agent.tick() }
+        val third = plan("v3", 3)
+        agent.accept(third)
+        agent.ended(LoadResult.Completed, "v2")
+        expectThat(agent.state.phase).isEqualTo(WAITING)
+        agent.tick()
+        expectThat(agent.sent).hasSize(1)
+        agent.hear(third) { DONE }
+        repeat(2) { agent.tick() }
+        expectThat(agent.sent.last().version).isEqualTo(version("v3"))
+    }
+
+    @Test
+    fun `a target holds while others know a newer plan and ignores older tables`() {
+        val agent = OneAgent(second, place = 0)
+        agent.hear(second) { WAITING }
+        agent.now += 100
+        agent.hear(plan("v3", 3)) { WAITING }
+        agent.tick()
+        expectThat(agent.state.phase).isEqualTo(WAITING)
+        agent.accept(plan("v1", 1))
+        expectThat(agent.state.plan).isEqualTo(second)
+    }
+
+    @Test
+    fun `a rollback is done without a load when the engine still holds the version`() {
+        val agent = OneAgent(second, place = 0)
+        agent.accept(plan("v1", 3))
+        expectThat(agent.state.phase).isEqualTo(DONE)
+    }
+
+    @Test
+    fun `failed loads pause longer each time and keep reason and place`() {
+        val agent = OneAgent(second, place = 0)
+        val pauses = List(6) {
+            while (agent.state.stage !is LoadStage.Running) {
+                agent.hear(second) { WAITING }
+                agent.tick()
+            }
+            agent.ended(LoadResult.Failed(LoadFailure.VERSION_MISSING), "v1")
+            agent.state.retryAt!!.millisecondsLeft(agent.time())
+        }
+        expectThat(pauses.last()).isGreaterThan(pauses.first() * 8)
+        expectThat(agent.state.failure).isEqualTo(LoadFailure.VERSION_MISSING)
+        expectThat(agent.state.stated?.phase).isEqualTo(WAITING)
+    }
+
+    @Test
+    fun `the weight store's time to try again is kept`() {
+        val agent = OneAgent(second, place = 0)
+        agent.hear(second) { WAITING }
+        repeat(2) { agent.tick() }
+        val at = Deadline.fromEpochMilliseconds(agent.now + 30_000)
+        agent.ended(LoadResult.Failed(LoadFailure.WEIGHT_STORE_LIMIT, at), "v1")
+        expectThat(agent.state.retryAt!! >= at).isTrue()
+    }
+
+    @Test
+    fun `an adapter is loaded while the target serves`() {
+        val agent = OneAgent(plan("v1", 2, adapter = "embroidery"), place = 0)
+        agent.hear(agent.state.plan!!) { WAITING }
+        agent.tick()
+        expectThat(agent.sent.single().kind).isEqualTo(LoadCommandKind.LOAD_ADAPTER)
+        expectThat(agent.state.serving).isTrue()
+    }
+
+    @Test
+    fun `edits of other rows change neither plan nor order`() {
+        expectThat(plan("v2", 9)).isEqualTo(second.copy(revision = plan("v2", 9).revision))
+    }
+}
--- a/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
@@ -140,6 +140,7 @@
         body = plan.request.body,
         prefix = plan.request.head.prefix,
         contentType = plan.request.contentType,
+        adapter = plan.request.head.adapter,
     )
 
     private fun failed(reason: RetryReason) =
--- a/entry/src/main/kotlin/org/vanilladale/entry/CallerRequestHead.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CallerRequestHead.kt
@@ -6,6 +6,7 @@
 import io.vertx.core.MultiMap
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.AdapterName
 import org.vanilladale.schema.BindingText
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.PrefixId
@@ -20,6 +21,7 @@
  * @property deadline deadline that the caller named; null for the route's own
  * @property offset UTF-16 code units of the answer that the caller holds already
  * @property resumeTarget target that made the part that the caller holds
+ * @property adapter adapter that the answer needs; null for the model alone
  */
 internal data class CallerRequestHead(
     val workspace: WorkspaceId,
@@ -30,6 +32,7 @@
     val binding: BindingText?,
     val offset: Long,
     val resumeTarget: TargetId?,
+    val adapter: AdapterName?,
 ) {
     companion object {
         private const val PREFIX = "vanilladale-"
@@ -45,6 +48,7 @@
                 binding = optional(headers, "binding", BindingText::parseOrNull),
                 offset = optional(headers, "offset", ::offsetOrNull) ?: 0,
                 resumeTarget = optional(headers, "resume-target", TargetId::parseOrNull),
+                adapter = optional(headers, "adapter", AdapterName::parseOrNull),
             )
         }
 
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -33,6 +33,7 @@
 import org.vanilladale.schema.Leaving
 import org.vanilladale.schema.PoolTarget
 import org.vanilladale.schema.Role
+import org.vanilladale.schema.RolloutReport
 import org.vanilladale.schema.TargetId
 import org.vanilladale.transport.ConnectionTiming
 import org.vanilladale.transport.LocalIdentity
@@ -94,6 +95,7 @@
         ::useEntries,
     )
     private val links: AgentLinks = AgentLinks(scope, ::createLink)
+    private val rollouts = RolloutReports(fleet, links)
     private val runner = RequestRunner(
         configuration,
         links,
@@ -234,7 +236,10 @@
         val restarted = fleet.sawIncarnation(target, connection.remote.incarnation)
         // A link to an earlier address of the target may have left its mark.
         onSuspicion(target, suspected = false)
-        if (restarted) fleet.poolsOf(target).forEach { router.forget(it, target) }
+        if (restarted) {
+            fleet.poolsOf(target).forEach { router.forget(it, target) }
+            rollouts.forget(target)
+        }
     }
 
     private fun onAgentFrame(target: TargetId, frame: Frame) {
@@ -252,6 +257,8 @@
 
             is CrashReport -> suspects.onCrashReport(frame)
 
+            is RolloutReport -> rollouts.onReport(target, frame)
+
             else -> counters.event("frame-unexpected")
         }
     }
--- a/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
@@ -73,7 +73,12 @@
         val latest = now.deadlineAfter(route.deadlineMilliseconds)
         val deadline = minOf(request.head.deadline ?: latest, latest)
         ensure(!deadline.hasPassed(now)) { Refusal(RefusalReason.DEADLINE_TOO_SHORT) }
-        RequestPlan(request, route, tables.poolOf(route), deadline)
+        val pool = tables.poolOf(route)
+        val adapter = request.head.adapter
+        ensure(adapter == null || pool.adapters.any { it.name == adapter }) {
+            Refusal(RefusalReason.NO_ADAPTER, detail = "pool '${pool.name}' has no '$adapter'")
+        }
+        RequestPlan(request, route, pool, deadline)
     }
 
     private fun admit(plan: RequestPlan): Either<Refusal, Unit> = synchronized(workspaceLimit) {
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -149,12 +149,17 @@
     /** Describes [target] of [pool] for operators. */
     fun describe(pool: PoolName, target: PoolTarget): TargetReport = withPool(pool) {
         val now = clock()
+        val last = view.lastReportOrNull(target.target)
+        val state = view.stateOf(target.target, now)
+        val isLoading = state == TargetState.UNAVAILABLE && last?.loading == true
         TargetReport(
             target.target,
             connected = true,
             target.dataCentre,
-            view.stateOf(target.target, now).name.lowercase(),
+            if (isLoading) LOADING else state.name.lowercase(),
             view.loadOf(target.target, now),
+            last?.version,
+            last?.adapters.orEmpty(),
         )
     }
 
@@ -163,7 +168,13 @@
         tried: Set<TargetId>,
         now: Timestamp,
     ): Either<Refusal, TargetId> = choice.choose(
-        ChoiceRequest(connected(plan.pool.name), now, plan.request.head.prefix, tried),
+        ChoiceRequest(
+            connected(plan.pool.name),
+            now,
+            plan.request.head.prefix,
+            tried,
+            plan.request.head.adapter,
+        ),
     )
 
     private fun <R> withPool(pool: PoolName, block: PoolRouting.() -> R): R =
@@ -171,6 +182,7 @@
 
     private companion object {
         const val SHARDS = 16
+        const val LOADING = "loading"
 
         /** Longer than two heartbeats, so that one late report does not end the mark. */
         const val SLOW_MILLISECONDS = 2_500L
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/SystemCounters.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/SystemCounters.kt
@@ -7,6 +7,9 @@
 import java.io.ByteArrayOutputStream
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.core.refusal.RetryReason
+import org.vanilladale.core.rollout.LoadCommandKind
+import org.vanilladale.core.rollout.LoadFailure
+import org.vanilladale.core.rollout.LoadRefusal
 
 /** Counters of one process, in a registry of their own. */
 public class SystemCounters {
@@ -15,6 +18,11 @@
     private val retries = labelled("vanilladale_retries", "Attempts at another target", "reason")
     private val events = labelled("vanilladale_events", "Events inside the system", "event")
     private val answers = labelled("vanilladale_answers", "Whole answers", "kind")
+    private val loads = labelled("vanilladale_loads", "Completed engine loads", "command")
+    private val loadRetries =
+        labelled("vanilladale_load_retries", "Engine loads that failed", "reason")
+    private val loadRefusals =
+        labelled("vanilladale_load_refusals", "Engine commands that were not run", "reason")
     private val gauges = Gauge.builder()
         .name("vanilladale_state")
         .help("State of this process")
@@ -25,6 +33,9 @@
         // Series exist from the start, so that a rate over the first occurrence is right.
         RefusalReason.entries.forEach { refusals.initLabelValues(it.code) }
         RetryReason.entries.forEach { retries.initLabelValues(it.code) }
+        LoadCommandKind.entries.forEach { loads.initLabelValues(it.code) }
+        LoadFailure.entries.forEach { loadRetries.initLabelValues(it.code) }
+        LoadRefusal.entries.forEach { loadRefusals.initLabelValues(it.code) }
     }
 
     /** Counts a refusal. */
@@ -47,6 +58,21 @@
         answers.labelValues(kind).inc()
     }
 
+    /** Counts a command that the engine carried out. */
+    public fun loaded(kind: LoadCommandKind) {
+        loads.labelValues(kind.code).inc()
+    }
+
+    /** Counts a load that failed and is tried again. */
+    public fun loadRetried(reason: LoadFailure) {
+        loadRetries.labelValues(reason.code).inc()
+    }
+
+    /** Counts a command that was not run. */
+    public fun loadRefused(reason: LoadRefusal) {
+        loadRefusals.labelValues(reason.code).inc()
+    }
+
     /** Sets the state value [name]. */
     public fun state(name: String, value: Double) {
         gauges.labelValues(name).set(value)
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Engine.kt
@@ -20,8 +20,18 @@
  * `GET /control/streams` returns `{started}`, the number of requests since the start.
  * `PUT /control` with `{stallMilliseconds}` stops all steps for that time; `{crashOn: text}` ends
  * the process when a prompt that contains the text runs.
+ *
+ * With a weight store the engine starts without a model and takes the commands of [ModelLoads]; it
+ * answers 503 with `{reason}` to a request whose model or `adapter` it has not loaded, and cuts off
+ * the requests that run when its model version is replaced.
  */
-public class Engine(private val vertx: Vertx, private val settings: Settings) {
+public class Engine(
+    private val vertx: Vertx,
+    private val settings: Settings,
+    weightStoreUrl: String? = null,
+    loadMilliseconds: Long = 0,
+    keepsFencing: Boolean = true,
+) {
     /**
      * How the engine behaves.
      *
@@ -54,6 +64,9 @@
     private var stalledUntil = 0L
     private var crashOn: String? = null
     private var reported = load()
+    private val loads = weightStoreUrl?.let { url ->
+        ModelLoads(vertx, ModelLoads.Settings(url, loadMilliseconds, keepsFencing), ::cutOff)
+    }
 
     /** Serves on [port] of the loopback address. */
     public fun start(port: Int): HttpServer {
@@ -74,6 +87,7 @@
         router.get("/control/streams").handler {
             it.json(JsonObject().put("started", synchronized(this) { started }))
         }
+        loads?.addRoutes(router)
         router.get("/health").handler { it.response().end() }
         router.put("/control").handler(BodyHandler.create(false)).handler(::control)
         vertx.setPeriodic(settings.loadLagMilliseconds.coerceAtLeast(1)) {
@@ -83,6 +97,13 @@
 
     private fun generate(context: RoutingContext) {
         val body = context.body().asJsonObject()
+        val missing = loads?.refusalOrNull(body.getString("adapter"))
+        if (missing != null) {
+            context.response().setStatusCode(
+                503,
+            ).end(JsonObject().put("reason", missing).toBuffer())
+            return
+        }
         val response = context.response().setChunked(true)
         val id = body.getString("stream", "")
         val stream = EngineStream(
@@ -107,6 +128,16 @@
         }
     }
 
+    private fun cutOff() {
+        val cut = synchronized(this) {
+            (running + waiting).filterNot { it.done }.also {
+                running.clear()
+                waiting.clear()
+            }
+        }
+        cut.forEach { it.cutOff() }
+    }
+
     private fun control(context: RoutingContext) {
         val body = context.body().asJsonObject()
         synchronized(this) {
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineCommand.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineCommand.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.int
@@ -17,6 +18,13 @@
     private val cachedPrefixes by option(help = "Prefixes in the cache").int().default(20)
     private val loadLagMilliseconds by option(help = "Age of the load report").long().default(500)
 
+    private val weightStore by option(
+        help = "Base URL of the weight store; none for an engine " +
+            "that serves one model without commands",
+    )
+    private val loadMilliseconds by option(help = "Time to load after the read").long().default(200)
+    private val ignoreFencing by option(help = "Obey commands of any fencing number").flag()
+
     override fun run() {
         val settings = Engine.Settings(
             slots,
@@ -28,7 +36,7 @@
         ) {
             Runtime.getRuntime().halt(1)
         }
-        Engine(Vertx.vertx(), settings).start(port)
+        Engine(Vertx.vertx(), settings, weightStore, loadMilliseconds, !ignoreFencing).start(port)
         echo("engine listens on port $port")
     }
 }
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineStream.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineStream.kt
@@ -39,6 +39,12 @@
         while (!done && next < produced) step()
     }
 
+    /** Breaks the answer off without its end mark. */
+    fun cutOff() {
+        cancelled = true
+        response.reset()
+    }
+
     private fun writeLine(line: JsonObject) {
         if (!response.closed()) response.write(line.encode() + "\n")
     }
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/Main.kt
@@ -15,6 +15,7 @@
             ConfigurationServiceCommand(),
             PublishCommand(),
             VmListCommand(),
+            WeightStoreCommand(),
             EngineCommand(),
             PlainServiceCommand(),
             RankGroupCommand(),
