--- a/agent/src/main/kotlin/org/vanilladale/agent/rollout/EngineLoads.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rollout/EngineLoads.kt
@@ -7,6 +7,7 @@
 import io.vertx.ext.web.client.HttpResponse
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
 import org.vanilladale.core.rollout.EngineModels
 import org.vanilladale.core.rollout.LoadCommand
 import org.vanilladale.core.rollout.LoadFailure
@@ -23,8 +24,20 @@
 internal class EngineLoads(vertx: Vertx, private val engineUrl: String) {
     private val client = WebClient.create(vertx)
 
-    /** Reads what is loaded, or returns null when the engine does not tell. */
+    /**
+     * Reads what is loaded, or returns null when the engine does not tell in [READS] tries.
+     *
+     * One read that was late is no reason to take the target away.
+     */
     suspend fun readOrNull(): EngineModels? {
+        repeat(READS - 1) {
+            readOnceOrNull()?.let { return it }
+            delay(PAUSE_MILLISECONDS)
+        }
+        return readOnceOrNull()
+    }
+
+    private suspend fun readOnceOrNull(): EngineModels? {
         val response = runCatchingIo {
             client.getAbs("$engineUrl/v1/models").timeout(READ_MILLISECONDS).send().coAwait()
         }
@@ -82,6 +95,10 @@
         const val HTTP_OK = 200
         const val HTTP_NO_CONTENT = 204
         const val HTTP_CONFLICT = 409
-        const val READ_MILLISECONDS = 1_000L
+
+        /** All tries together stay under the gap that counts as a pause of the agent. */
+        const val READ_MILLISECONDS = 750L
+        const val PAUSE_MILLISECONDS = 100L
+        const val READS = 3
     }
 }
--- a/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
@@ -8,6 +8,7 @@
 import org.vanilladale.bench.path.PathCommand
 import org.vanilladale.bench.placement.PlacementCommand
 import org.vanilladale.bench.placement.PlacementCostCommand
+import org.vanilladale.bench.rollout.RolloutCommand
 import org.vanilladale.bench.routing.RoutingCommand
 
 private fun commands(): List<CliktCommand> = listOf(
@@ -15,6 +16,7 @@
     PathCommand(),
     PlacementCommand(),
     PlacementCostCommand(),
+    RolloutCommand(),
     RoutingCommand(),
 )
 
--- a/core/src/main/kotlin/org/vanilladale/core/rollout/LoadTurn.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rollout/LoadTurn.kt
@@ -73,9 +73,10 @@
     private fun isFresh(heard: HeardStatement, now: Timestamp): Boolean =
         now.epochMilliseconds - heard.heardAt.epochMilliseconds < options.silenceMilliseconds
 
-    /** Silence counts from the time at which this agent began to listen. */
+    /** Silence counts from the time at which the target had a reason to state its progress. */
     private fun isSilent(state: RolloutState, target: TargetId, now: Timestamp): Boolean {
-        val since = maxOf(state.heard[target]?.heardAt ?: state.listenedSince, state.listenedSince)
-        return now.epochMilliseconds - since.epochMilliseconds >= options.silenceMilliseconds
+        val since = maxOf(state.listenedSince, state.planSince)
+        val last = state.heard[target]?.let { maxOf(it.heardAt, since) } ?: since
+        return now.epochMilliseconds - last.epochMilliseconds >= options.silenceMilliseconds
     }
 }
--- a/core/src/main/kotlin/org/vanilladale/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rollout/Rollout.kt
@@ -41,6 +41,7 @@
         val stage = state.stage.takeIf { it is LoadStage.Running } ?: LoadStage.Idle
         val changed = state.copy(
             plan = plan,
+            planSince = now,
             stage = stage,
             failures = 0,
             failure = null,
--- a/core/src/main/kotlin/org/vanilladale/core/rollout/RolloutOptions.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rollout/RolloutOptions.kt
@@ -7,7 +7,8 @@
  * @property settleMilliseconds time to listen after a start, a pause or a loss of the loaded
  *   version; two repeats, so that the others have heard of this target before it loads
  * @property silenceMilliseconds time without a statement after which a target holds up no other
- *   one; several repeats, so that a lost frame is no silence
+ *   one; longer than the 16 s in which a revision comes into force everywhere, because a target
+ *   without a plan states nothing
  * @property pauseMilliseconds gap between two ticks from which on this process counts as paused;
  *   shorter than the silence, so that a paused target listens again before others passed it over
  * @property leaseMilliseconds time in which a decided command has to be sent
@@ -18,7 +19,7 @@
 public data class RolloutOptions(
     val restateMilliseconds: Long = 3_000,
     val settleMilliseconds: Long = 6_000,
-    val silenceMilliseconds: Long = 15_000,
+    val silenceMilliseconds: Long = 20_000,
     val pauseMilliseconds: Long = 3_000,
     val leaseMilliseconds: Long = 2_000,
     val drainMilliseconds: Long = 30_000,
--- a/core/src/main/kotlin/org/vanilladale/core/rollout/RolloutState.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rollout/RolloutState.kt
@@ -26,6 +26,7 @@
  *
  * @property loaded what the engine reported last; null while it does not answer
  * @property listenedSince time from which on statements of others have been heard without a gap
+ * @property planSince time from which on the others can be expected to state [plan]
  * @property failures loads that failed since the last one that succeeded
  * @property retryAt time before which no load is tried again
  * @property stated last own statement
@@ -35,6 +36,7 @@
     val listenedSince: Timestamp,
     val lastTickAt: Timestamp = listenedSince,
     val plan: RolloutPlan? = null,
+    val planSince: Timestamp = listenedSince,
     val loaded: EngineModels? = null,
     val stage: LoadStage = LoadStage.Idle,
     val heard: Map<TargetId, HeardStatement> = emptyMap(),
