Tell of load changes in order and start engines with a version

Cause: two events of a rollout at the same time could tell the load reports of the earlier one last, so that a target stayed away.

Change: the state is told under the lock; the stand-in engine can start with a version.

--- a/agent/src/main/kotlin/org/vanilladale/agent/rollout/RolloutAgent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rollout/RolloutAgent.kt
@@ -86,16 +86,17 @@
         ports.tables()?.let { RolloutPlan.fromTablesOrNull(it, current.target) }
 
     private fun apply(scope: CoroutineScope, event: RolloutEvent) {
-        val (before, step) = synchronized(lock) {
+        val step = synchronized(lock) {
             val before = state
             val step = rollout.decide(before, event, ports.clock())
             state = step.state
-            before to step
-        }
-        if (before.serving != step.state.serving || before.loaded != step.state.loaded ||
-            before.plan != step.state.plan
-        ) {
-            ports.onChange(step.state)
+            // Under the lock, so that of two changes the later one is told last.
+            if (before.serving != state.serving || before.loaded != state.loaded ||
+                before.plan != state.plan
+            ) {
+                ports.onChange(state)
+            }
+            step
         }
         step.actions.forEach { action ->
             when (action) {
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineCommand.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/EngineCommand.kt
@@ -3,6 +3,7 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.int
@@ -25,6 +26,19 @@
     private val loadMilliseconds by option(help = "Time to load after the read").long().default(200)
     private val ignoreFencing by option(help = "Obey commands of any fencing number").flag()
 
+    private val loaded by option(help = "NAME/VERSION of the model at the start; none if absent")
+    private val loadedAdapter by option(help = "NAME/VERSION of an adapter at the start").multiple()
+
+    private fun loads(url: String) = ModelLoads.Settings(
+        url,
+        loadMilliseconds,
+        !ignoreFencing,
+        loaded?.let(::nameAndVersion),
+        loadedAdapter.associate(::nameAndVersion),
+    )
+
+    private fun nameAndVersion(text: String) = text.substringBefore('/') to text.substringAfter('/')
+
     override fun run() {
         val settings = Engine.Settings(
             slots,
@@ -36,7 +50,7 @@
         ) {
             Runtime.getRuntime().halt(1)
         }
-        Engine(Vertx.vertx(), settings, weightStore, loadMilliseconds, !ignoreFencing).start(port)
+        Engine(Vertx.vertx(), settings, weightStore?.let(::loads)).start(port)
         echo("engine listens on port $port")
     }
 }
--- a/stand-ins/src/main/kotlin/org/vanilladale/standins/ModelLoads.kt
+++ b/stand-ins/src/main/kotlin/org/vanilladale/standins/ModelLoads.kt
@@ -12,7 +12,7 @@
 import io.vertx.ext.web.handler.BodyHandler
 
 /**
- * Load commands of a stand-in engine, which starts without any model.
+ * Load commands of a stand-in engine.
  *
  * `GET /v1/models` returns `{model, version, adapters: [{name, version}], loading, fence}`.
  * `POST /v1/models/COMMAND` with `{fence, name, version}` and the commands `load-model`,
@@ -22,7 +22,7 @@
  * its beginning on a read replaces it. A later command replaces one that still runs.
  * `PUT /control/loads` with `{failNext: N}` makes the next N loads fail after their read.
  */
-internal class ModelLoads(
+public class ModelLoads internal constructor(
     private val vertx: Vertx,
     private val settings: Settings,
     private val onDropped: () -> Unit,
@@ -33,23 +33,27 @@
      * @property weightStoreUrl base URL of the weight store
      * @property loadMilliseconds time from the end of the read until the engine can serve
      * @property keepsFencing whether commands with an old fencing number are refused
+     * @property loadedModel name and version that the engine starts with; null for none
+     * @property loadedAdapters versions of the adapters that the engine starts with
      */
-    class Settings(
-        val weightStoreUrl: String,
-        val loadMilliseconds: Long,
-        val keepsFencing: Boolean,
+    public class Settings(
+        public val weightStoreUrl: String,
+        public val loadMilliseconds: Long,
+        public val keepsFencing: Boolean,
+        public val loadedModel: Pair<String, String>? = null,
+        public val loadedAdapters: Map<String, String> = emptyMap(),
     )
 
     private val client = vertx.createHttpClient(HttpClientOptions().setKeepAlive(false))
     private var fence = 0L
-    private var model: String? = null
-    private var version: String? = null
-    private val adapters = sortedMapOf<String, String>()
+    private var model: String? = settings.loadedModel?.first
+    private var version: String? = settings.loadedModel?.second
+    private val adapters = settings.loadedAdapters.toSortedMap()
     private var loading = 0
     private var lastModelLoad = 0
     private var failNext = 0
 
-    fun addRoutes(router: Router) {
+    internal fun addRoutes(router: Router) {
         router.get("/v1/models").handler { it.json(synchronized(this) { report() }) }
         router.post("/v1/models/:command").handler(BodyHandler.create(false)).handler(::command)
         router.put("/control/loads").handler(BodyHandler.create(false)).handler { context ->
@@ -60,7 +64,7 @@
     }
 
     /** Returns the reason for which a request with [adapter] can't run, or null. */
-    fun refusalOrNull(adapter: String?): String? = synchronized(this) {
+    internal fun refusalOrNull(adapter: String?): String? = synchronized(this) {
         when {
             version == null -> "loading"
             adapter != null && adapter !in adapters -> "no-adapter"
