--- a/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
@@ -62,6 +62,7 @@
         .put("priority", submit.priority)
         .put("continue", submit.delivered)
         .put("prefix", submit.prefix?.text)
+        .put("adapter", submit.adapter?.text)
         .toBuffer()
 
     private fun receive(request: HttpClientRequest): WaitingText {
@@ -80,7 +81,10 @@
     private fun receiveLines(response: HttpClientResponse, waiting: WaitingText) {
         val status = response.statusCode()
         if (status != HTTP_OK) {
-            waiting.end(TargetOutcome.Failed(RefusalReason.TARGET_FAILED, "status $status"))
+            // An engine without the model or adapter has not run the request.
+            val absent = status == HTTP_UNAVAILABLE
+            val reason = if (absent) RefusalReason.LOADING else RefusalReason.TARGET_FAILED
+            waiting.end(TargetOutcome.Failed(reason, "status $status"))
             return
         }
         var done = false
@@ -96,6 +100,7 @@
 
     private companion object {
         const val HTTP_OK = 200
+        const val HTTP_UNAVAILABLE = 503
         val NO_END_MARK = TargetOutcome.Broken("the engine ended the answer without its end mark")
     }
 }
--- a/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
@@ -9,6 +9,7 @@
 import org.vanilladale.bench.path.PathSlopeCommand
 import org.vanilladale.bench.placement.PlacementCommand
 import org.vanilladale.bench.placement.PlacementCostCommand
+import org.vanilladale.bench.rollout.RolloutCommand
 import org.vanilladale.bench.routing.RoutingCommand
 
 private fun commands(): List<CliktCommand> = listOf(
@@ -17,6 +18,7 @@
     PathSlopeCommand(),
     PlacementCommand(),
     PlacementCostCommand(),
+    RolloutCommand(),
     RoutingCommand(),
 )
 
