--- a/transport/src/main/kotlin/org/vanilladale/transport/FrameCodec.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/FrameCodec.kt
@@ -7,7 +7,6 @@
 import java.util.zip.CRC32C
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
-import org.vanilladale.schema.Answer
 import org.vanilladale.schema.Frame
 
 /** Converts frames to CBOR and back. */
@@ -27,15 +26,12 @@
 
     /** Returns the CBOR form of [frame] followed by its CRC-32C. */
     public fun encode(frame: Frame): ByteArray {
-        val answer = (frame as? Answer)?.let { AnswerCodec.encodeOrNull(it, Int.SIZE_BYTES) }
-        val bytes = answer ?: encodePayload(frame).let { it.copyOf(it.size + Int.SIZE_BYTES) }
-        val size = bytes.size - Int.SIZE_BYTES
-        ByteBuffer.wrap(bytes).putInt(size, checksum(bytes, size))
+        val payload = cbor.encodeToByteArray(serializer, frame)
+        val bytes = payload.copyOf(payload.size + Int.SIZE_BYTES)
+        ByteBuffer.wrap(bytes).putInt(payload.size, checksum(bytes, payload.size))
         return bytes
     }
 
-    internal fun encodePayload(frame: Frame): ByteArray = cbor.encodeToByteArray(serializer, frame)
-
     /** Reads one frame; a wrong checksum and unknown types and fields are faults. */
     public fun decode(bytes: ByteArray): Either<FrameFault, Frame> {
         val size = bytes.size - Int.SIZE_BYTES
@@ -43,7 +39,7 @@
         if (size < 1 || ByteBuffer.wrap(bytes).getInt(size) != checksum(bytes, size)) {
             return FrameFault.Malformed("wrong checksum").left()
         }
-        return AnswerCodec.decodeOrNull(bytes, size)?.right() ?: decodePayload(bytes.copyOf(size))
+        return decodePayload(bytes.copyOf(size))
     }
 
     // The CBOR library reports broken input with exceptions of several unrelated kinds, and with a
