--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/ModelRolloutTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/ModelRolloutTest.kt
@@ -49,6 +49,7 @@
         targets.forEach { fleet.startEngine(it, "--tokens=$tokens", store, *loaded) }
         listOf("entry-0", "entry-1").forEach { fleet.startEntry(it) }
         awaitVersion("v1")
+        listOf("entry-0", "entry-1").forEach(::awaitTargets)
     }
 
     @AfterEach
@@ -103,6 +104,18 @@
     private fun engine(target: String) =
         JsonObject(fleet.get("http://${fleet.address("engine-$target")}/v1/models").body())
 
+    /** A request before the entry has tables and connections would be refused by right. */
+    private fun awaitTargets(entry: String) {
+        fleet.await("all targets ready at $entry") {
+            val pool = fleet.statusOrNull("operator-$entry")?.getJsonArray("pools")?.firstOrNull()
+            val reports = (pool as? JsonObject)?.getJsonArray("targets")?.toList().orEmpty()
+            reports.size == targets.size && reports.all {
+                val report = it as JsonObject
+                report.getString("state") == "ready" && report.getString("version") == "v1"
+            }
+        }
+    }
+
     private fun awaitVersion(version: String) {
         fleet.await("version $version at all targets") {
             targets.all { target ->
