Grow the heartbeat interval with the connections of a process

Ruled out: an interval of each side's own. The side with fewer connections would cost the other one its budget, so both use the longer of the two intervals.

Change: HeartbeatRule decides the interval from the number of connections and the silence that a peer allows; ConnectionPulse keeps the deadlines of one connection; one timer serves all connections of a process. A heartbeat names the time until the next one instead of its sending time (protocol version 2). A request on a connection without a frame for two base intervals sends a probe along, so that a silent connection costs it one base interval. The state slow or unhealthy of a target now holds until the next report, and agents report a change of slow at once, because reports are further apart.

--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -89,7 +89,7 @@
         ::systemNow,
     )
     private val group =
-        GroupAgent(settings, vertx, network, counters, { configuration.current }, slots::setSlow)
+        GroupAgent(settings, vertx, network, counters, { configuration.current }, ::onSlow)
     private val nextSession = AtomicLong()
     private val sessions = ConcurrentHashMap.newKeySet<EntrySession>()
     private val plannedStop: PlannedStop = PlannedStop(
@@ -151,7 +151,7 @@
         plannedStop.leavingOrNull?.let { session.send(it) }
         spread.connected(connection)
         val reason = connection.run(
-            { spread.heartbeat(connection, Heartbeat(systemNow(), load = slots.load())) },
+            { spread.heartbeat(connection, Heartbeat(load = slots.load())) },
         ) { frame ->
             when {
                 spread.onFrame(connection, frame) || frame is Heartbeat -> Unit
@@ -173,7 +173,15 @@
     /** Entries learn at once that the target takes no work, not with the next heartbeat. */
     private fun onHealth(isHealthy: Boolean) {
         slots.setHealthy(isHealthy)
-        sessions.forEach { it.send(Heartbeat(systemNow(), load = slots.load())) }
+        reportLoad()
+    }
+
+    private fun onSlow(isSlow: Boolean) {
+        if (slots.setSlow(isSlow)) reportLoad()
+    }
+
+    private fun reportLoad() {
+        sessions.forEach { it.send(Heartbeat(load = slots.load())) }
     }
 
     private fun refusesNewWork(): Boolean = plannedStop.refusesNewWork().also { refuses ->
--- a/agent/src/main/kotlin/org/vanilladale/agent/SlotQueue.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/SlotQueue.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.raise.either
 import arrow.core.right
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlinx.coroutines.CancellationException
@@ -47,13 +48,10 @@
         healthy = value
     }
 
-    @Volatile
-    private var slow = false
+    private val slow = AtomicBoolean()
 
-    /** Marks the rank group of the target as slow or in time, for the load reports. */
-    fun setSlow(value: Boolean) {
-        slow = value
-    }
+    /** Marks the rank group of the target as slow or in time; returns true when that is new. */
+    fun setSlow(value: Boolean): Boolean = slow.getAndSet(value) != value
 
     /** Load of the target now. */
     fun load(): Load = lock.withLock { loadUnderLock() }
@@ -139,7 +137,7 @@
         reportedAt = clock(),
         serviceMicroseconds = serviceTime.microseconds,
         healthy = healthy,
-        slow = slow,
+        slow = slow.get(),
     )
 
     private fun microsecondsSince(startedAt: Long): Long =
--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/GroupPeers.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/GroupPeers.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.tinylog.kotlin.Logger
-import org.vanilladale.runtime.systemNow
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.Heartbeat
 import org.vanilladale.schema.PoolTarget
@@ -91,7 +90,7 @@
     private suspend fun use(rank: Rank, connection: PeerConnection) {
         connections.put(rank, connection)?.close()
         try {
-            connection.run({ Heartbeat(systemNow()) }) { frame ->
+            connection.run({ Heartbeat() }) { frame ->
                 if (frame !is Heartbeat) onFrame(rank, frame)
             }
         } finally {
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
@@ -111,10 +111,12 @@
         val row = rows[target] ?: return TargetState.READY
         val leaving = row.leavingAt?.hasPassed(now) == true
         val unavailable = row.unavailableUntil?.hasPassed(now) == false
-        val unhealthy = reportOrNull(target, now)?.healthy == false
+        // Agents report changes of these two at once, so the last report holds whatever its age.
+        val unhealthy = row.load?.healthy == false
+        val reportedSlow = row.load?.slow == true
         return when {
             leaving || unavailable || unhealthy -> TargetState.UNAVAILABLE
-            row.slowUntil?.hasPassed(now) == false -> TargetState.SLOW
+            reportedSlow || row.slowUntil?.hasPassed(now) == false -> TargetState.SLOW
             else -> TargetState.READY
         }
     }
--- a/core/src/test/kotlin/org/vanilladale/core/configuration/ConfigurationRun.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/configuration/ConfigurationRun.kt
@@ -132,7 +132,7 @@
 
     private fun heartbeat(from: Process, to: Process) {
         val offer = from.state?.heartbeatOfferOrNull(to.vm) ?: return
-        val heartbeat = Heartbeat(time())
+        val heartbeat = Heartbeat()
         bytes += sizeOf(heartbeat.copy(revision = offer.revision, digest = offer.digest)) -
             sizeOf(heartbeat)
         deliver(from, to, HeartbeatReceived(from.vm, offer.revision, offer.digest))
--- a/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
@@ -39,6 +39,7 @@
         val events = link.open(request)
         var ended = false
         try {
+            events.connection?.probeIfQuiet()
             if (link.connection?.send(submit(start)) != true) {
                 return failed(RetryReason.CONNECT_FAILED)
             }
--- a/entry/src/main/kotlin/org/vanilladale/entry/BoundCall.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/BoundCall.kt
@@ -62,6 +62,7 @@
         val events = link.open(request)
         try {
             return withTimeoutOrNull(milliseconds) {
+                events.connection?.probeIfQuiet()
                 if (events.connection?.send(frame) != true) return@withTimeoutOrNull null
                 var result: R? = null
                 while (result == null) {
--- a/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Entry.kt
@@ -213,7 +213,7 @@
         target,
         network,
         counters,
-        { connection -> spread.heartbeat(connection, Heartbeat(systemNow())) },
+        { connection -> spread.heartbeat(connection, Heartbeat()) },
         { connection -> onConnected(target.target, connection) },
         spread::disconnected,
         { connection, frame ->
--- a/entry/src/main/kotlin/org/vanilladale/entry/EntryPeers.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/EntryPeers.kt
@@ -105,7 +105,7 @@
         onConnected(connection)
         try {
             val reason = connection.run(
-                { spread.heartbeat(connection, Heartbeat(systemNow())) },
+                { spread.heartbeat(connection, Heartbeat()) },
             ) { frame -> receive(connection, frame) }
             counters.event("connection-${reason.code}")
         } finally {
--- a/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/TargetRouter.kt
@@ -92,7 +92,6 @@
             val now = clock()
             view.reported(target, load, now)
             slowTargets.reported(target, load, peers, now)
-            if (load.slow) view.markSlow(target, now.deadlineAfter(SLOW_MILLISECONDS))
         }
     }
 
@@ -171,8 +170,5 @@
 
     private companion object {
         const val SHARDS = 16
-
-        /** Longer than two heartbeats, so that one late report does not end the mark. */
-        const val SLOW_MILLISECONDS = 2_500L
     }
 }
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/LeavingAgentTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/LeavingAgentTest.kt
@@ -106,7 +106,7 @@
             val refused = CompletableDeferred<Refused>()
             val run = launch {
                 connection.run({
-                    Heartbeat(systemNow())
+                    Heartbeat()
                 }) { if (it is Refused) refused.complete(it) }
             }
             connection.send(submit())
--- a/transport/src/main/kotlin/org/vanilladale/transport/ConnectionTiming.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/ConnectionTiming.kt
@@ -1,10 +1,13 @@
 package org.vanilladale.transport
 
+import org.vanilladale.core.membership.HeartbeatRule
+
 /**
  * Intervals of a connection in milliseconds.
  *
- * @property heartbeatMilliseconds an idle connection sends a heartbeat at this interval
- * @property silenceMilliseconds a connection without any frame for this time is abandoned
+ * @property heartbeatMilliseconds interval of heartbeats while there are few connections
+ * @property silenceMilliseconds a connection without any frame for this time is abandoned while
+ *   heartbeats come at that interval
  * @property handshakeMilliseconds time for connect, hello and welcome
  */
 public data class ConnectionTiming(
@@ -18,4 +21,7 @@
                 "$silenceMilliseconds and $heartbeatMilliseconds"
         }
     }
+
+    internal val heartbeatRule: HeartbeatRule
+        get() = HeartbeatRule(heartbeatMilliseconds, silenceMilliseconds - heartbeatMilliseconds)
 }
--- a/transport/src/main/kotlin/org/vanilladale/transport/LocalIdentity.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/LocalIdentity.kt
@@ -37,6 +37,6 @@
 
     public companion object {
         /** Version of the frames; both ends of a connection must have the same one. */
-        public const val PROTOCOL_VERSION: Int = 1
+        public const val PROTOCOL_VERSION: Int = 2
     }
 }
--- a/transport/src/main/kotlin/org/vanilladale/transport/PeerConnection.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/PeerConnection.kt
@@ -8,18 +8,18 @@
 import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writeInt
 import java.io.IOException
+import kotlin.random.Random
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.vanilladale.schema.Deadline
+import org.vanilladale.core.membership.ConnectionPulse
+import org.vanilladale.core.membership.PulseAction
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.Heartbeat
-import org.vanilladale.schema.Timestamp
 
 /**
  * Open connection to another process of the system after the handshake.
@@ -31,14 +31,14 @@
     private val socket: Socket,
     private val reader: ByteReadChannel,
     private val writer: ByteWriteChannel,
-    private val timing: ConnectionTiming,
-    private val clock: () -> Timestamp,
+    private val timer: ConnectionTimer,
+    betweenEntries: Boolean,
 ) {
     private val outgoing = Channel<Frame>(OUTGOING_FRAMES)
     private val closeReason = CompletableDeferred<CloseReason>()
 
-    @Volatile
-    private var silentAt: Deadline = clock().deadlineAfter(timing.silenceMilliseconds)
+    private val pulse =
+        ConnectionPulse(timer.rule, betweenEntries, Random.Default, timer.clock())
 
     /** Completes with the reason when the connection has ended. */
     public val closed: Deferred<CloseReason> get() = closeReason
@@ -58,6 +58,15 @@
     /** Queues [frame] unless the connection has ended or its queue is full. */
     public fun trySend(frame: Frame): Boolean = outgoing.trySend(frame).isSuccess
 
+    /**
+     * Asks the peer for a frame when none came for a while; call it before a request. Without an
+     * answer the connection ends as [CloseReason.SILENT], long before its silence deadline.
+     */
+    public fun probeIfQuiet() {
+        val probes = synchronized(pulse) { pulse.startProbe(timer.clock()) }
+        if (probes) trySend(Heartbeat(answer = true))
+    }
+
     /** Ends the connection from this side. */
     public fun close() {
         finish(CloseReason.LOCAL)
@@ -84,21 +93,27 @@
         onFrame: suspend (Frame) -> Unit,
     ): CloseReason = coroutineScope {
         val writing = launch { writeFrames() }
-        val watching = launch { watch(heartbeat) }
-        val reading = launch { readFrames(onFrame) }
-        val reason = closeReason.await()
-        watching.cancel()
+        val reading = launch { readFrames(heartbeat, onFrame) }
+        val reason = try {
+            timer.add(this@PeerConnection, heartbeat)
+            closeReason.await()
+        } finally {
+            timer.remove(this@PeerConnection)
+        }
         reading.cancel()
         // Frames that were queued before a local close, such as a last refusal, are still written.
         // A peer that reads nothing must not hold the end up.
         if (reason == CloseReason.LOCAL) {
-            withTimeoutOrNull(timing.heartbeatMilliseconds) { writing.join() }
+            withTimeoutOrNull(timer.rule.baseMilliseconds) { writing.join() }
         }
         writing.cancel()
         reason
     }
 
-    private suspend fun readFrames(onFrame: suspend (Frame) -> Unit) {
+    private suspend fun readFrames(
+        heartbeat: () -> Heartbeat,
+        onFrame: suspend (Frame) -> Unit,
+    ) {
         try {
             while (!closeReason.isCompleted) {
                 val length = reader.readInt()
@@ -107,8 +122,10 @@
                     return
                 }
                 val bytes = reader.readByteArray(length)
-                silentAt = clock().deadlineAfter(timing.silenceMilliseconds)
-                FrameCodec.decode(bytes).fold({ fault -> reject(fault) }, { onFrame(it) })
+                FrameCodec.decode(bytes).fold({ fault -> reject(fault) }) { frame ->
+                    received(frame, heartbeat)
+                    onFrame(frame)
+                }
             }
         } catch (_: IOException) {
             finish(CloseReason.REMOTE)
@@ -138,22 +155,36 @@
         writer.writeByteArray(bytes)
     }
 
-    private suspend fun watch(heartbeat: () -> Heartbeat) {
-        var expectedAt = clock().deadlineAfter(timing.heartbeatMilliseconds)
-        while (!closeReason.isCompleted) {
-            delay(timing.heartbeatMilliseconds)
-            val now = clock()
-            // A late tick means that this process was paused; its peers get time to be heard again.
-            val late = now.epochMilliseconds - expectedAt.epochMilliseconds
-            if (late > timing.heartbeatMilliseconds) {
-                silentAt = now.deadlineAfter(timing.silenceMilliseconds)
-            }
-            expectedAt = now.deadlineAfter(timing.heartbeatMilliseconds)
-            if (silentAt.hasPassed(now)) {
-                finish(CloseReason.SILENT)
-                return
+    private fun received(frame: Frame, heartbeat: () -> Heartbeat) {
+        val next = (frame as? Heartbeat)?.nextMilliseconds
+        synchronized(pulse) {
+            val now = timer.clock()
+            if (next == null) {
+                pulse.frameReceived(now)
+            } else {
+                pulse.beatReceived(next, frame.leastMilliseconds ?: next, now)
             }
-            trySend(heartbeat())
+        }
+        if (frame is Heartbeat && frame.answer) trySend(heartbeat())
+    }
+
+    /** Looks at the deadlines; [connections] are open in this process. */
+    internal fun tick(connections: Int, wokeUp: Boolean, heartbeat: () -> Heartbeat) {
+        val action = synchronized(pulse) {
+            val now = timer.clock()
+            if (wokeUp) pulse.wokeUp(now)
+            pulse.tick(connections, now)
+        }
+        when (action) {
+            is PulseAction.Beat -> trySend(
+                heartbeat().copy(
+                    nextMilliseconds = action.nextMilliseconds,
+                    leastMilliseconds =
+                    action.leastMilliseconds.takeIf { it != action.nextMilliseconds },
+                ),
+            )
+            PulseAction.Abandon -> finish(CloseReason.SILENT)
+            PulseAction.None -> Unit
         }
     }
 
--- a/transport/src/main/kotlin/org/vanilladale/transport/PeerNetwork.kt
+++ b/transport/src/main/kotlin/org/vanilladale/transport/PeerNetwork.kt
@@ -25,17 +25,35 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.vanilladale.schema.Frame
 import org.vanilladale.schema.Hello
+import org.vanilladale.schema.Role
 import org.vanilladale.schema.SocketAddressText
 import org.vanilladale.schema.Timestamp
 import org.vanilladale.schema.Welcome
 
 /** Dials and accepts connections between the system's own processes. */
-public class PeerNetwork(
+public class PeerNetwork private constructor(
     private val local: LocalIdentity,
     private val timing: ConnectionTiming,
-    private val clock: () -> Timestamp,
+    private val timer: ConnectionTimer,
+    private val selector: SelectorManager,
 ) : AutoCloseable {
-    private val selector = SelectorManager(Dispatchers.IO)
+    public constructor(
+        local: LocalIdentity,
+        timing: ConnectionTiming,
+        clock: () -> Timestamp,
+    ) : this(
+        local,
+        timing,
+        ConnectionTimer(timing.heartbeatRule, clock),
+        SelectorManager(Dispatchers.IO),
+    )
+
+    /**
+     * Returns a network of another identity that shares the threads and the timer of this one, for a
+     * process that stands in for many peers. [close] ends both.
+     */
+    public fun withIdentity(other: LocalIdentity): PeerNetwork =
+        PeerNetwork(other, timing, timer, selector)
 
     /** Dials [address] and shakes hands. */
     public suspend fun dial(address: SocketAddressText): Either<DialFault, PeerConnection> {
@@ -73,7 +91,7 @@
             welcome.incarnation,
             welcome.target,
         )
-        return PeerConnection(remote, socket, reader, writer, timing, clock).right()
+        return connection(remote, socket, reader, writer).right()
     }
 
     /**
@@ -133,7 +151,17 @@
             hello.incarnation,
             hello.target,
         )
-        return PeerConnection(remote, socket, reader, writer, timing, clock)
+        return connection(remote, socket, reader, writer)
+    }
+
+    private fun connection(
+        remote: PeerIdentity,
+        socket: Socket,
+        reader: ByteReadChannel,
+        writer: ByteWriteChannel,
+    ): PeerConnection {
+        val betweenEntries = local.identity.role == Role.ENTRY && remote.role == Role.ENTRY
+        return PeerConnection(remote, socket, reader, writer, timer, betweenEntries)
     }
 
     private suspend fun readOne(reader: ByteReadChannel): Frame? {
@@ -150,6 +178,7 @@
     }
 
     override fun close() {
+        timer.close()
         selector.close()
     }
 
--- a/transport/src/test/kotlin/org/vanilladale/transport/FrameCodecTest.kt
+++ b/transport/src/test/kotlin/org/vanilladale/transport/FrameCodecTest.kt
@@ -29,7 +29,7 @@
     private val samples: List<Frame> = listOf(
         Answer(RequestId(7), Attempt(1), 12, "podwiązka"),
         Heartbeat(
-            Timestamp.fromEpochMilliseconds(5),
+            nextMilliseconds = 5_000,
             load = Load(1, 2, 8, reportedAt = Timestamp.fromEpochMilliseconds(4)),
         ),
         Submit(
@@ -60,9 +60,9 @@
         val now = Timestamp.fromEpochMilliseconds(1_796_000_000_000)
         val load = Load(8, 32, 8, reportedAt = now, serviceMicroseconds = 800_000)
         val sizes = mapOf(
-            "entry to agent" to FrameCodec.encode(Heartbeat(now)).size + Int.SIZE_BYTES,
+            "entry to agent" to FrameCodec.encode(Heartbeat(30_000)).size + Int.SIZE_BYTES,
             "agent to entry" to FrameCodec.encode(
-                Heartbeat(now, load = load),
+                Heartbeat(30_000, 8_000, load = load),
             ).size + Int.SIZE_BYTES,
         )
         println("heartbeat bytes with length and checksum: $sizes")
--- a/transport/src/test/kotlin/org/vanilladale/transport/PeerConnectionTest.kt
+++ b/transport/src/test/kotlin/org/vanilladale/transport/PeerConnectionTest.kt
@@ -47,10 +47,10 @@
             network("client").use { client ->
                 runBlocking(Dispatchers.Default) {
                     val listening = server.listen(this, address) { connection ->
-                        ended.complete(connection.run({ Heartbeat(now()) }) {})
+                        ended.complete(connection.run({ Heartbeat() }) {})
                     }
                     val connection = client.dial(address).getOrElse { error(it.message) }
-                    launch { connection.run({ Heartbeat(now()) }) {} }.cancelAndJoin()
+                    launch { connection.run({ Heartbeat() }) {} }.cancelAndJoin()
                     val reason = withTimeout(5_000) { ended.await() }
                     expectThat(reason).isEqualTo(CloseReason.REMOTE)
                     listening.cancel()
