Test the answer to a probe between two real networks

The earlier test of this answer let its stand-in reply, so the reply path of PeerConnection itself was not run. The new one fails when a live peer with a far-off next heartbeat does not answer within one shortest interval.

--- a/transport/src/test/kotlin/org/vanilladale/transport/SilentPeerTest.kt
+++ b/transport/src/test/kotlin/org/vanilladale/transport/SilentPeerTest.kt
@@ -113,20 +113,27 @@
         expectThat(elapsed).isIn(200L..3_000L)
     }
 
-    /** The peer of a real process answers although its own next heartbeat is far off. */
     @Test
-    fun `a live peer answers a probe at once`() {
-        val answers = withPeer({ input, output ->
-            output.writeFrame(Heartbeat(nextMilliseconds = 60_000))
-            while ((input.readFrame() as? Heartbeat)?.answer != true) Unit
-            output.writeFrame(Heartbeat())
-        }) { connection ->
-            val run = async { connection.run({ Heartbeat() }) {} }
-            delay(1_500)
-            connection.probeIfQuiet()
-            delay(1_500)
-            run.isActive.also { run.cancelAndJoin() }
+    fun `a live peer answers a probe although its own next heartbeat is far off`() {
+        val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        val address = SocketAddressText.parse("127.0.0.1:$port")
+        val slow = ConnectionTiming(60_000, 120_000)
+        val stays = PeerNetwork(identity("peer"), slow, ::now).use { server ->
+            PeerNetwork(identity("own"), ConnectionTiming(200, 600), ::now).use { client ->
+                runBlocking(Dispatchers.Default) {
+                    val listening = server.listen(this, address) { it.run({ Heartbeat() }) {} }
+                    val connection = client.dial(address).getOrElse { error(it.message) }
+                    val run = async { connection.run({ Heartbeat() }) {} }
+                    delay(1_500)
+                    connection.probeIfQuiet()
+                    delay(1_500)
+                    run.isActive.also {
+                        run.cancelAndJoin()
+                        listening.cancelAndJoin()
+                    }
+                }
+            }
         }
-        expectThat(answers).isTrue()
+        expectThat(stays).isTrue()
     }
 }
