--- a/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/Agent.kt
@@ -94,7 +94,7 @@
         ::systemNow,
     )
     private val group =
-        GroupAgent(settings, vertx, network, counters, { configuration.current }, slots::setSlow)
+        GroupAgent(settings, vertx, network, counters, { configuration.current }, ::onSlow)
     private val rollout = RolloutAgent(
         settings.target,
         EngineLoads(vertx, settings.targetUrl),
@@ -174,7 +174,7 @@
         plannedStop.leavingOrNull?.let { session.send(it) }
         spread.connected(connection)
         val reason = connection.run(
-            { spread.heartbeat(connection, Heartbeat(systemNow(), load = slots.load())) },
+            { spread.heartbeat(connection, Heartbeat(load = slots.load())) },
         ) { frame ->
             when {
                 spread.onFrame(connection, frame) || frame is Heartbeat -> Unit
@@ -197,18 +197,22 @@
     /** Entries learn at once that the target takes no work, not with the next heartbeat. */
     private fun onHealth(isHealthy: Boolean) {
         slots.setHealthy(isHealthy)
-        sendLoad()
+        reportLoad()
+    }
+
+    private fun onSlow(isSlow: Boolean) {
+        if (slots.setSlow(isSlow)) reportLoad()
     }
 
     private fun onModels(state: RolloutState) {
         val loaded = state.loaded.takeIf { state.plan != null }
         val adapters = loaded?.adapters.orEmpty().map { it.name }
         slots.setModels(LoadedModels(!state.serving, loaded?.version, adapters))
-        sendLoad()
+        reportLoad()
     }
 
-    private fun sendLoad() {
-        sessions.forEach { it.send(Heartbeat(systemNow(), load = slots.load())) }
+    private fun reportLoad() {
+        sessions.forEach { it.send(Heartbeat(load = slots.load())) }
     }
 
     private fun refusesNewWork(): Boolean = plannedStop.refusesNewWork().also { refuses ->
--- a/agent/src/main/kotlin/org/vanilladale/agent/SlotQueue.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/SlotQueue.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.raise.either
 import arrow.core.right
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlinx.coroutines.CancellationException
@@ -48,13 +49,10 @@
         healthy = value
     }
 
-    @Volatile
-    private var slow = false
+    private val slow = AtomicBoolean()
 
-    /** Marks the rank group of the target as slow or in time, for the load reports. */
-    fun setSlow(value: Boolean) {
-        slow = value
-    }
+    /** Marks the rank group of the target as slow or in time; returns true when that is new. */
+    fun setSlow(value: Boolean): Boolean = slow.getAndSet(value) != value
 
     @Volatile
     private var models = LoadedModels()
@@ -155,7 +153,7 @@
         reportedAt = clock(),
         serviceMicroseconds = serviceTime.microseconds,
         healthy = healthy,
-        slow = slow,
+        slow = slow.get(),
         loading = models.loading,
         version = models.version,
         adapters = models.adapters,
--- a/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
+++ b/bench/src/main/kotlin/org/vanilladale/bench/Main.kt
@@ -5,8 +5,10 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import org.vanilladale.bench.call.CallCommand
+import org.vanilladale.bench.membership.MembershipCommand
 import org.vanilladale.bench.path.PathCommand
 import org.vanilladale.bench.path.PathSlopeCommand
+import org.vanilladale.bench.peers.PeersCommand
 import org.vanilladale.bench.placement.PlacementCommand
 import org.vanilladale.bench.placement.PlacementCostCommand
 import org.vanilladale.bench.rollout.RolloutCommand
@@ -14,8 +16,10 @@
 
 private fun commands(): List<CliktCommand> = listOf(
     CallCommand(),
+    MembershipCommand(),
     PathCommand(),
     PathSlopeCommand(),
+    PeersCommand(),
     PlacementCommand(),
     PlacementCostCommand(),
     RolloutCommand(),
--- a/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/routing/TargetLoadView.kt
@@ -122,11 +122,12 @@
         val row = rows[target] ?: return TargetState.READY
         val leaving = row.leavingAt?.hasPassed(now) == true
         val unavailable = row.unavailableUntil?.hasPassed(now) == false
-        val report = reportOrNull(target, now)
-        val unhealthy = report?.healthy == false || report?.loading == true
+        // Agents report changes of these three at once, so the last report holds whatever its age.
+        val unhealthy = row.load?.healthy == false || row.load?.loading == true
+        val reportedSlow = row.load?.slow == true
         return when {
             leaving || unavailable || unhealthy -> TargetState.UNAVAILABLE
-            row.slowUntil?.hasPassed(now) == false -> TargetState.SLOW
+            reportedSlow || row.slowUntil?.hasPassed(now) == false -> TargetState.SLOW
             else -> TargetState.READY
         }
     }
--- a/entry/src/test/kotlin/org/vanilladale/entry/AgentLinkTest.kt
+++ b/entry/src/test/kotlin/org/vanilladale/entry/AgentLinkTest.kt
@@ -59,14 +59,14 @@
                 runBlocking(Dispatchers.Default) {
                     agent.listen(scope, address) { connection ->
                         connected.complete(connection)
-                        connection.run({ Heartbeat(systemNow()) }) {}
+                        connection.run({ Heartbeat() }) {}
                     }
                     val ready = CompletableDeferred<Unit>()
                     val link = AgentLink(
                         PoolTarget(target, address, dataCentre),
                         entry,
                         SystemCounters(),
-                        { Heartbeat(systemNow()) },
+                        { Heartbeat() },
                         { ready.complete(Unit) },
                         {},
                         { _, _ -> },
