Wait for late crash reports before a suspect runs alone, and end copies elsewhere

Cause: two copies of one request that ran at the same moment on two targets crashed both. The entry of the first copy knew one crash only when it retried, and ran the retry alone on a third target.

Ruled out: isolation itself and the choice of the isolated target; the third target ran the request alone and was the same one for both entries.

Change: an isolated run starts 500 ms after the last known crash of the suspect, and the decision is taken again then. An agent that hears of a crash elsewhere ends its own copies of the suspect that share the target, and refuses later ones that don't run alone; their entries retry alone. A crash report goes out before the mark that the target is down. Orders with a binding are never ended this way. A lookup whose hedged attempts all fail continues on the common retry path, which knows suspects; before, its retry ignored them.

Changed checks: the case of repeats after 1 ms expected more than two targets lost, as a limit of the design. It now requires exactly two with both steps and more than two without them; lost reports likewise without the steps. In the model an entry learns that a target is down with its crash report, as the agents now send them.

Conclusion: the bound of two targets also holds for two copies that overlap and for repeats that overtake reports. Copies beyond two that already run at the first crash each cost a target.

--- a/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/AttemptRunner.kt
@@ -65,6 +65,8 @@
 
         is TargetOutcome.Withheld -> outcome.refusal
 
+        TargetOutcome.Withdrawn -> Refusal(RefusalReason.SUSPECT_WAITING, RunState.UNKNOWN)
+
         is TargetOutcome.Unreachable ->
             Refusal(RefusalReason.TARGET_FAILED, RunState.NO, outcome.detail)
     }
--- a/agent/src/main/kotlin/org/vanilladale/agent/BoundRunner.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/BoundRunner.kt
@@ -135,7 +135,7 @@
 
             is TargetOutcome.Withheld -> BoundOutcome.Refused(result.refusal)
 
-            is TargetOutcome.Broken -> withoutOutcome(row, null)
+            is TargetOutcome.Broken, TargetOutcome.Withdrawn -> withoutOutcome(row, null)
 
             is TargetOutcome.Unreachable ->
                 withoutOutcome(row, Refusal(RefusalReason.TARGET_FAILED, detail = result.detail))
--- a/agent/src/main/kotlin/org/vanilladale/agent/TargetCrashes.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/TargetCrashes.kt
@@ -1,10 +1,16 @@
 package org.vanilladale.agent
 
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withContext
@@ -39,6 +45,7 @@
 ) {
     private val inFlight = InFlightBook<Long>()
     private val suspects = SuspectBook(SuspectLimits())
+    private val withdrawals = ConcurrentHashMap<Long, CompletableDeferred<Unit>>()
     private val nextCall = AtomicLong()
     private val crashes = AtomicLong()
     private val checking = Mutex()
@@ -55,7 +62,12 @@
             while (inFlight.start(call, request, submit.isolated) == StartDecision.WAIT) {
                 delay(TURN_MILLISECONDS)
             }
-            val outcome = caller(submit, gate, onText)
+            val outcome = if (submit.binding == null) {
+                callUnlessSuspected(call, submit, request) { caller(submit, gate, onText) }
+            } else {
+                // A bound request may have been dispatched already, so it is never ended here.
+                caller(submit, gate, onText)
+            }
             if (outcome is TargetOutcome.Broken) withContext(NonCancellable) { onBroken() }
             outcome
         } finally {
@@ -65,7 +77,9 @@
 
     /** Takes a report of another process and sends on what was new. */
     fun onCrashReport(frame: CrashReport) {
-        suspects.merge(frame, clock())?.let(report)
+        val news = suspects.merge(frame, clock()) ?: return
+        report(news)
+        inFlight.sharedCopiesOf(news).forEach { withdrawals[it]?.complete(Unit) }
     }
 
     /** Removes expired suspects until the coroutine is cancelled. */
@@ -76,15 +90,43 @@
         }
     }
 
+    /** Ends the call when a report from another target makes its request a suspect. */
+    private suspend fun callUnlessSuspected(
+        call: Long,
+        submit: Submit,
+        request: RequestFingerprints,
+        block: suspend () -> TargetOutcome,
+    ): TargetOutcome = coroutineScope {
+        val withdrawal = CompletableDeferred<Unit>()
+        withdrawals[call] = withdrawal
+        try {
+            // The book is read after the call is listed, so that no report falls between the two.
+            val refusal = suspects.startRefusalOrNull(request, submit.isolated, clock())
+            if (refusal != null) return@coroutineScope TargetOutcome.Withheld(refusal)
+            val outcome = async { block() }
+            select<TargetOutcome> {
+                outcome.onAwait { it }
+                withdrawal.onAwait {
+                    outcome.cancelAndJoin()
+                    Logger.info { "agent: ${submit.workspace}/${submit.key} is suspected, ended" }
+                    TargetOutcome.Withdrawn
+                }
+            }
+        } finally {
+            withdrawals.remove(call)
+        }
+    }
+
     /** A lost connection alone is no crash: the target has to refuse the health check too. */
     private suspend fun onBroken() = checking.withLock {
         if (isDown || acceptsConnections()) return@withLock
         isDown = true
-        onHealth(false)
         val crash = crashIdOf(target, incarnation, crashes.incrementAndGet())
         val found = inFlight.crash(crash, clock().deadlineAfter(SUSPICION_MILLISECONDS))
         Logger.warn { "agent: target $target crashed with ${found.suspects.size / 2} in flight" }
+        // Entries choose an isolated target among the live ones, so they need the suspects first.
         suspects.merge(found, clock())?.let(report)
+        onHealth(false)
         scope.launch { awaitHealth() }
     }
 
--- a/agent/src/main/kotlin/org/vanilladale/agent/TargetOutcome.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/TargetOutcome.kt
@@ -17,6 +17,9 @@
     /** The gate held the call back; the target has not seen it. */
     public data class Withheld(val refusal: Refusal) : TargetOutcome
 
+    /** The agent ended the call because the request is suspected; the target may have run it. */
+    public data object Withdrawn : TargetOutcome
+
     /** The target can't be reached and has not seen the call. */
     public data class Unreachable(val detail: String) : TargetOutcome
 }
--- a/core/src/main/kotlin/org/vanilladale/core/crash/CrashRecord.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/CrashRecord.kt
@@ -8,11 +8,14 @@
 /**
  * Crashes with one request in flight. Both sets only grow until the record expires, so merging is
  * independent of order and repetition.
+ *
+ * @property settledAt when reports of crashes close to the last known one have arrived here
  */
 internal data class CrashRecord(
     val crashes: Set<CrashId>,
     val cleared: Set<CrashId>,
     val expiresAt: Deadline,
+    val settledAt: Deadline,
 ) {
     /** Crashes that no completed isolated run has cleared. */
     val open: Set<CrashId> get() = crashes - cleared
@@ -21,6 +24,7 @@
         lowest(crashes + other.crashes),
         lowest(cleared + other.cleared),
         maxOf(expiresAt, other.expiresAt),
+        if (crashes.containsAll(other.crashes)) settledAt else maxOf(settledAt, other.settledAt),
     )
 
     fun toSuspects(fingerprint: Fingerprint): List<Suspect> = listOfNotNull(
@@ -36,9 +40,10 @@
         /** Bounds a record's size; crashes beyond it count again only after the expiry. */
         private const val MAXIMUM_CRASHES = 64
 
-        fun fromSuspect(suspect: Suspect): CrashRecord {
+        fun fromSuspect(suspect: Suspect, settledAt: Deadline): CrashRecord {
             val ids = lowest(suspect.crashes.toSet())
-            return CrashRecord(ids, if (suspect.cleared) ids else emptySet(), suspect.expiresAt)
+            val cleared = if (suspect.cleared) ids else emptySet()
+            return CrashRecord(ids, cleared, suspect.expiresAt, settledAt)
         }
 
         /** The lowest ids of a union don't depend on the order in which it was formed. */
--- a/core/src/main/kotlin/org/vanilladale/core/crash/InFlightBook.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/InFlightBook.kt
@@ -27,6 +27,16 @@
         shards.withShard(Unit) { it.stop(id) }
     }
 
+    /**
+     * Returns the requests in flight that [report] suspects and that don't run alone.
+     *
+     * They started before the report came; each may crash this target too.
+     */
+    public fun sharedCopiesOf(report: CrashReport): List<I> {
+        val suspected = report.suspects.filterNot { it.cleared }.map { it.fingerprint }.toSet()
+        return shards.withShard(Unit) { it.sharedCopiesOf(suspected) }
+    }
+
     /** Returns the number of requests in flight. */
     public fun size(): Int = shards.withShard(Unit) { it.size }
 
--- a/core/src/main/kotlin/org/vanilladale/core/crash/InFlightState.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/InFlightState.kt
@@ -1,5 +1,7 @@
 package org.vanilladale.core.crash
 
+import org.vanilladale.schema.Fingerprint
+
 /** What runs and who waits to run alone. The caller holds the lock. */
 internal class InFlightState<I : Any> {
     private val running = LinkedHashMap<I, RequestFingerprints>()
@@ -29,6 +31,12 @@
         if (alone == id) alone = null
     }
 
+    fun sharedCopiesOf(suspected: Set<Fingerprint>): List<I> = running
+        .filter { (id, request) ->
+            id != alone && (request.content in suspected || request.key in suspected)
+        }
+        .keys.toList()
+
     fun takeAll(): List<RequestFingerprints> {
         val all = running.values.toList()
         running.clear()
--- a/core/src/main/kotlin/org/vanilladale/core/crash/SuspectBook.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/SuspectBook.kt
@@ -17,7 +17,11 @@
  */
 public class SuspectBook(limits: SuspectLimits) {
     private val shards = Sharded<Fingerprint, SuspectShard>(limits.shardCount) {
-        SuspectShard(limits.maximumRecords / limits.shardCount, limits.longestRecordMilliseconds)
+        SuspectShard(
+            limits.maximumRecords / limits.shardCount,
+            limits.longestRecordMilliseconds,
+            limits.settleMilliseconds,
+        )
     }
 
     /**
@@ -30,21 +34,43 @@
         live: Collection<TargetId>,
         now: Timestamp,
     ): SuspectDecision {
-        val byContent = openCrashes(request.content, now)
-        val byKey = openCrashes(request.key, now)
-        return when (maxOf(byContent, byKey)) {
-            0 -> SuspectDecision.Run
-            in 1 until CONVICTING_CRASHES ->
-                rendezvousChoice(request.content.text, live) { it.text }
-                    ?.let { SuspectDecision.RunIsolated(it) }
-                    ?: refuse(RefusalReason.NO_TARGET, byKey)
-            else -> refuse(RefusalReason.SUSPECT_CONVICTED, byKey)
+        val byContent = openRecordOrNull(request.content, now)
+        val byKey = openRecordOrNull(request.key, now)
+        val crashes = maxOf(byContent.crashCount, byKey.crashCount)
+        if (crashes == 0) return SuspectDecision.Run
+        if (crashes >= CONVICTING_CRASHES) return refuse(RefusalReason.SUSPECT_CONVICTED, byKey)
+        val target = rendezvousChoice(request.content.text, live) { it.text }
+            ?: return refuse(RefusalReason.NO_TARGET, byKey)
+        val settledAt = listOfNotNull(byContent, byKey).maxOf { it.settledAt }
+        return SuspectDecision.RunIsolated(target, settledAt)
+    }
+
+    /**
+     * Returns why an agent may not start [request] now, or null when it may.
+     *
+     * The entry that sent it may not have heard of a crash that this process knows.
+     */
+    public fun startRefusalOrNull(
+        request: RequestFingerprints,
+        isolated: Boolean,
+        now: Timestamp,
+    ): Refusal? {
+        val byContent = openRecordOrNull(request.content, now)
+        val byKey = openRecordOrNull(request.key, now)
+        val crashes = maxOf(byContent.crashCount, byKey.crashCount)
+        return when {
+            crashes >= CONVICTING_CRASHES ->
+                refuse(RefusalReason.SUSPECT_CONVICTED, byKey).refusal
+
+            crashes > 0 && !isolated -> refuse(RefusalReason.SUSPECT_WAITING, byKey).refusal
+
+            else -> null
         }
     }
 
     /** A request whose own key was in flight at a crash may have run in part. */
-    private fun refuse(reason: RefusalReason, crashesByKey: Int) = SuspectDecision.Refuse(
-        Refusal(reason, if (crashesByKey == 0) RunState.NO else RunState.UNKNOWN),
+    private fun refuse(reason: RefusalReason, byKey: CrashRecord?) = SuspectDecision.Refuse(
+        Refusal(reason, if (byKey == null) RunState.NO else RunState.UNKNOWN),
     )
 
     /** Takes a report; returns the part that was new, to send on, or null when nothing was. */
@@ -76,8 +102,10 @@
     /** Returns the number of records, one shard after the other. */
     public fun size(): Int = shards.mapShards { it.size }.sum()
 
-    private fun openCrashes(fingerprint: Fingerprint, now: Timestamp): Int =
-        shards.withShard(fingerprint) { it.openCrashes(fingerprint, now).size }
+    private fun openRecordOrNull(fingerprint: Fingerprint, now: Timestamp): CrashRecord? =
+        shards.withShard(fingerprint) { it.openRecordOrNull(fingerprint, now) }
+
+    private val CrashRecord?.crashCount: Int get() = this?.open.orEmpty().size
 
     private companion object {
         /** One crash may be another request's fault; the second one came while it ran alone. */
--- a/core/src/main/kotlin/org/vanilladale/core/crash/SuspectShard.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/SuspectShard.kt
@@ -9,19 +9,21 @@
 internal class SuspectShard(
     private val maximumRecords: Int,
     private val longestRecordMilliseconds: Long,
+    private val settleMilliseconds: Long,
 ) {
     private val records = HashMap<Fingerprint, CrashRecord>()
 
     val size: Int get() = records.size
 
-    fun openCrashes(fingerprint: Fingerprint, now: Timestamp): Set<CrashId> =
-        records[fingerprint]?.takeUnless { it.expiresAt.hasPassed(now) }?.open.orEmpty()
+    /** Returns the unexpired record of [fingerprint] if a crash of it is open. */
+    fun openRecordOrNull(fingerprint: Fingerprint, now: Timestamp): CrashRecord? =
+        records[fingerprint]?.takeUnless { it.expiresAt.hasPassed(now) || it.open.isEmpty() }
 
     /** Returns true when [suspect] told something new. */
     fun merge(suspect: Suspect, now: Timestamp): Boolean {
         if (suspect.expiresAt.hasPassed(now) || suspect.crashes.isEmpty()) return false
         val latest = now.deadlineAfter(longestRecordMilliseconds)
-        val told = CrashRecord.fromSuspect(suspect)
+        val told = CrashRecord.fromSuspect(suspect, now.deadlineAfter(settleMilliseconds))
             .let { it.copy(expiresAt = minOf(it.expiresAt, latest)) }
         val known = records[suspect.fingerprint]?.takeUnless { it.expiresAt.hasPassed(now) }
         val merged = known?.merge(told) ?: told
@@ -32,9 +34,8 @@
 
     /** Clears the crashes known now; a later one counts again. */
     fun clear(fingerprint: Fingerprint, now: Timestamp): Suspect? {
-        val record = records[fingerprint]?.takeUnless { it.expiresAt.hasPassed(now) }
-        val open = record?.open.orEmpty()
-        if (record == null || open.isEmpty()) return null
+        val record = openRecordOrNull(fingerprint, now) ?: return null
+        val open = record.open
         records[fingerprint] = record.copy(cleared = record.cleared + open)
         return Suspect(fingerprint, open.sortedBy(CrashId::text), true, record.expiresAt)
     }
--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RetryReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RetryReason.kt
@@ -13,5 +13,6 @@
     TARGET_OVERLOADED("target-overloaded"),
     TARGET_LEAVING("target-leaving"),
     TARGET_FAILED("target-failed"),
+    SUSPECT_ISOLATED("suspect-isolated"),
     HEDGE("hedge"),
 }
--- a/core/src/main/kotlin/org/vanilladale/core/retry/RetryDecision.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/retry/RetryDecision.kt
@@ -37,6 +37,8 @@
 
             RefusalReason.TARGET_FAILED -> RetryReason.TARGET_FAILED
 
+            RefusalReason.SUSPECT_WAITING -> RetryReason.SUSPECT_ISOLATED
+
             else -> null
         }
     }
--- a/core/src/test/kotlin/org/vanilladale/core/crash/CrashHistoryTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/CrashHistoryTest.kt
@@ -7,8 +7,13 @@
 
 /** Proof of section 7.6: targets lost to one request, and neighbours convicted with it. */
 class CrashHistoryTest {
-    private fun run(name: String, mechanism: CrashMechanism, repeatAfter: Long): List<CrashModel> {
-        val models = (1..SEEDS).map { CrashModel(it, mechanism, repeatAfter).run() }
+    private fun run(
+        name: String,
+        mechanism: CrashMechanism,
+        repeatAfter: Long,
+        copies: Int = 1,
+    ): List<CrashModel> {
+        val models = (1..SEEDS).map { CrashModel(it, mechanism, repeatAfter, copies).run() }
         val totals = listOf(
             "targets lost ${models.sumOf { it.crashes }}",
             "most in a seed ${models.maxOf { it.crashes }}",
@@ -29,6 +34,18 @@
         expectThat(models.minOf { it.innocentsDone.size }).isEqualTo(CrashModel.INNOCENTS)
     }
 
+    /** Guards against a third target lost to a caller that sends one request twice at once. */
+    @Test
+    fun `two copies sent at once cost two targets only with both steps against overlap`() {
+        val both = run("two copies", CrashMechanism(), 1, copies = 2)
+        expectThat(both.maxOf { it.crashes }).isEqualTo(2)
+        expectThat(both.sumOf { it.innocentsConvicted.size }).isEqualTo(0)
+        val unsettled = run("two copies, not settled", CrashMechanism(settles = false), 1, 2)
+        expectThat(unsettled.maxOf { it.crashes }).isGreaterThan(2)
+        val running = run("two copies, not withdrawn", CrashMechanism(withdraws = false), 1, 2)
+        expectThat(running.maxOf { it.crashes }).isGreaterThan(2)
+    }
+
     @Test
     fun `targets or neighbours are lost without each step`() {
         val none = run("no decisions", CrashMechanism(decides = false), 200)
@@ -46,15 +63,19 @@
     }
 
     /**
-     * An entry that a report has not reached does not know the suspect, so the bound of two
-     * targets needs reports that arrive before the caller's repeat.
+     * An entry that a report has not reached does not know the suspect. The wait before an isolated
+     * run and the agents' own refusal keep the bound when a repeat overtakes the reports.
      */
     @Test
-    fun `repeats that overtake the reports cost further targets`() {
-        val lossy = run("reports lost for good", CrashMechanism(retransmits = false), 200)
-        expectThat(lossy.maxOf { it.crashes }).isGreaterThan(2)
+    fun `repeats that overtake the reports cost further targets without both steps`() {
         val early = run("repeat after 1 ms", CrashMechanism(), 1)
-        expectThat(early.maxOf { it.crashes }).isGreaterThan(2)
+        expectThat(early.maxOf { it.crashes }).isEqualTo(2)
+        val neither = CrashMechanism(settles = false, withdraws = false)
+        expectThat(run("repeat after 1 ms, neither step", neither, 1).maxOf { it.crashes })
+            .isGreaterThan(2)
+        val lossy = CrashMechanism(retransmits = false, settles = false, withdraws = false)
+        expectThat(run("reports lost for good, neither step", lossy, 200).maxOf { it.crashes })
+            .isGreaterThan(2)
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/vanilladale/core/crash/CrashModel.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/CrashModel.kt
@@ -17,24 +17,35 @@
     val isolates: Boolean = true,
     val clears: Boolean = true,
     val retransmits: Boolean = true,
+    val settles: Boolean = true,
+    val withdraws: Boolean = true,
 )
 
 /**
  * Four entries and four targets. One request content crashes each target that runs it, and its
  * caller repeats it; other requests share the targets and are repeated after a crash. Reports are
  * delayed, duplicated, reordered and lost; a lost one is sent again within 100 ms. A whole copy
- * goes from one entry to the others every 50 ms.
+ * goes from one entry to the others every 50 ms. An entry knows that a target is down from the
+ * time when it has the crash report, since the agent sends the report first.
  *
  * @param repeatAfter milliseconds from a crash to the caller's repeat
+ * @param copies of the bad request that start at the same moment under different keys; with more
+ * than one each request stays at its entry, as with retries of the entry itself
  */
 internal class CrashModel(
     seed: Int,
     private val mechanism: CrashMechanism,
     private val repeatAfter: Long,
+    private val copies: Int = 1,
 ) {
     private class Event(val at: Long, val order: Long, val run: () -> Unit)
 
-    private class Work(val name: String, val bad: Boolean, val prints: RequestFingerprints) {
+    private class Work(
+        val name: String,
+        val bad: Boolean,
+        val prints: RequestFingerprints,
+        val ownEntry: Int?,
+    ) {
         var tries = 0
     }
 
@@ -43,9 +54,13 @@
     private inner class Target(val index: Int) {
         val id = TargetId.parse("model-$index")
         val book = InFlightBook<Flight>()
+        val suspects = SuspectBook(SuspectLimits())
         val flights = mutableSetOf<Flight>()
         var upAt = 0L
         var crashes = 0L
+        val seenDown = mutableSetOf<SuspectBook>()
+
+        fun isLiveFor(book: SuspectBook): Boolean = upAt <= now || book !in seenDown
     }
 
     private val random = Random(seed)
@@ -54,6 +69,7 @@
     private val time get() = Timestamp.fromEpochMilliseconds(now)
     private val books = List(4) { SuspectBook(SuspectLimits()) }
     private val targets = List(4) { Target(it) }
+    private val agentsAct = mechanism.decides && mechanism.isolates && mechanism.withdraws
     var crashes = 0
     var badRefused = 0
     var isolatedNeighbours = 0
@@ -64,18 +80,40 @@
         events += Event(now + delay, random.nextLong(), run)
     }
 
-    private fun tell(book: SuspectBook, report: CrashReport) {
+    private fun tell(book: SuspectBook, report: CrashReport, crashed: Target?) {
+        val merge = {
+            book.merge(report, time)
+            crashed?.seenDown?.add(book)
+        }
+        repeat(random.nextInt(0, 3)) { schedule(random.nextLong(1, 20)) { merge() } }
+        if (mechanism.retransmits) schedule(100) { merge() }
+    }
+
+    private fun tellAgent(target: Target, report: CrashReport) {
         repeat(random.nextInt(0, 3)) {
-            schedule(random.nextLong(1, 20)) { book.merge(report, time) }
+            schedule(random.nextLong(1, 20)) { receive(target, report) }
+        }
+        if (mechanism.retransmits) schedule(100) { receive(target, report) }
+    }
+
+    private fun receive(target: Target, report: CrashReport) {
+        val news = target.suspects.merge(report, time) ?: return
+        if (!agentsAct) return
+        target.book.sharedCopiesOf(news).forEach { flight ->
+            target.flights -= flight
+            target.book.stop(flight)
+            schedule(1) { submit(flight.work) }
         }
-        if (mechanism.retransmits) schedule(100) { book.merge(report, time) }
     }
 
     fun run(): CrashModel {
-        val innocents = List(INNOCENTS) { work("innocent-$it", bad = false) }
+        val innocents = List(INNOCENTS) { work("innocent-$it", bad = false, entry = it) }
         innocents.forEach { schedule(random.nextLong(0, 400)) { submit(it) } }
-        val bad = work("bad", bad = true)
-        schedule(random.nextLong(0, 200)) { submit(bad) }
+        val badAt = random.nextLong(0, 200)
+        repeat(copies) {
+            val bad = work("bad", bad = true, entry = it, key = "bad-$it")
+            schedule(badAt) { submit(bad, distinct = it) }
+        }
         for (at in 50L..DURATION step 50) {
             schedule(at) {
                 val from = books.random(random)
@@ -90,31 +128,37 @@
         return this
     }
 
-    private fun work(name: String, bad: Boolean) = Work(
+    private fun work(name: String, bad: Boolean, entry: Int, key: String = name) = Work(
         name,
         bad,
         RequestFingerprints.fromRequest(
             WorkspaceId.parse("w"),
             RequestKind.parse("draft"),
-            RequestKey.parse(name),
+            RequestKey.parse(key),
             name.toByteArray(),
         ),
+        (entry % books.size).takeIf { copies > 1 },
     )
 
-    private fun submit(work: Work) {
+    /** @param distinct place of the target among the live ones, so that copies start apart */
+    private fun submit(work: Work, distinct: Int? = null) {
         if (work.tries++ >= 12) return
-        val entry = random.nextInt(books.size)
-        val live = targets.filter { it.upAt <= now }
+        val entry = work.ownEntry ?: random.nextInt(books.size)
+        val live = targets.filter { it.isLiveFor(books[entry]) }
         val decision = if (mechanism.decides) {
             books[entry].decide(work.prints, live.map { it.id }, time)
         } else {
             SuspectDecision.Run
         }
         when (decision) {
-            SuspectDecision.Run -> live.randomOrNull(random)
+            SuspectDecision.Run -> (distinct?.let(live::getOrNull) ?: live.randomOrNull(random))
                 ?.let { start(it, Flight(work, entry, isolated = false)) }
                 ?: schedule(20) { submit(work) }
             is SuspectDecision.RunIsolated -> {
+                if (mechanism.settles && !decision.settledAt.hasPassed(time)) {
+                    work.tries--
+                    return schedule(decision.settledAt.millisecondsLeft(time)) { submit(work) }
+                }
                 val flight = Flight(work, entry, mechanism.isolates)
                 start(targets.first { it.id == decision.target }, flight)
             }
@@ -131,8 +175,16 @@
         when (target.book.start(flight, flight.work.prints, flight.isolated)) {
             StartDecision.WAIT -> schedule(5) { start(target, flight) }
             StartDecision.STARTED -> {
+                val refusal = target.suspects
+                    .startRefusalOrNull(flight.work.prints, flight.isolated, time)
+                if (agentsAct && refusal != null) {
+                    target.book.stop(flight)
+                    return schedule(20) { submit(flight.work) }
+                }
                 target.flights += flight
-                schedule(random.nextLong(10, 60)) { finish(target, flight) }
+                // Copies crash their targets at different times, some later than a suspect settles.
+                val longest = if (flight.work.bad && copies > 1) LONGEST_BAD_RUN else 60L
+                schedule(random.nextLong(10, longest)) { finish(target, flight) }
             }
         }
     }
@@ -145,8 +197,10 @@
         innocentsDone += flight.work.name
         if (flight.isolated) isolatedNeighbours++
         if (flight.isolated && mechanism.clears) {
-            books[flight.entry].clear(flight.work.prints, time)
-                ?.let { report -> books.forEach { tell(it, report) } }
+            books[flight.entry].clear(flight.work.prints, time)?.let { report ->
+                books.forEach { tell(it, report, crashed = null) }
+                targets.forEach { tellAgent(it, report) }
+            }
         }
         // The same content comes again under the same key, as a repeated lookup does.
         if (random.nextInt(100) < 30) schedule(random.nextLong(50, 500)) { submit(flight.work) }
@@ -159,10 +213,14 @@
         val report = target.book.crash(id, Deadline.fromEpochMilliseconds(now + 60_000))
         val lost = target.flights.toList()
         target.flights.clear()
-        books.forEach { tell(it, report) }
+        target.seenDown.clear()
+        books.forEach { tell(it, report, target) }
+        target.suspects.merge(report, time)
+        targets.forEach { if (it != target) tellAgent(it, report) }
         lost.forEach { flight ->
             // The entry of a lost request learns of the crash from the connection itself.
             books[flight.entry].merge(report, time)
+            target.seenDown += books[flight.entry]
             schedule(repeatAfter) { submit(flight.work) }
         }
     }
@@ -170,5 +228,6 @@
     companion object {
         const val INNOCENTS = 30
         private const val DURATION = 5_000L
+        private const val LONGEST_BAD_RUN = 1_000L
     }
 }
--- a/core/src/test/kotlin/org/vanilladale/core/crash/SuspectBookTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/SuspectBookTest.kt
@@ -89,6 +89,43 @@
         }
     }
 
+    /** Guards against a suspect that starts before reports of crashes close by have arrived. */
+    @Test
+    fun `each new crash moves the settling time and agents refuse what an entry missed`() {
+        val a = request("a")
+        book.merge(crash("1", a), now)
+        expectThat((book.decide(a, live, now) as SuspectDecision.RunIsolated).settledAt)
+            .isEqualTo(now.deadlineAfter(500))
+        val later = Timestamp.fromEpochMilliseconds(100)
+        book.merge(crash("1", a), later)
+        expectThat((book.decide(a, live, later) as SuspectDecision.RunIsolated).settledAt)
+            .isEqualTo(now.deadlineAfter(500))
+        val waiting = Refusal(RefusalReason.SUSPECT_WAITING, RunState.UNKNOWN)
+        expectThat(book.startRefusalOrNull(a, isolated = false, later)).isEqualTo(waiting)
+        expectThat(book.startRefusalOrNull(a, isolated = true, later)).isNull()
+        expectThat(book.startRefusalOrNull(request("b", "a"), isolated = false, later))
+            .isEqualTo(waiting.copy(run = RunState.NO))
+        book.merge(crash("2", a), later)
+        expectThat(book.startRefusalOrNull(a, isolated = true, later)?.reason)
+            .isEqualTo(RefusalReason.SUSPECT_CONVICTED)
+    }
+
+    /** Guards against a copy that goes on sharing its target after a crash elsewhere. */
+    @Test
+    fun `copies of a suspect that share their target are found`() {
+        val flights = InFlightBook<Int>()
+        flights.start(1, request("a", "same"), isolated = false)
+        flights.start(2, request("b"), isolated = false)
+        flights.start(3, request("c", "same"), isolated = false)
+        val report = crash("1", request("other", "same"))
+        expectThat(flights.sharedCopiesOf(report)).isEqualTo(listOf(1, 3))
+        val cleared = CrashReport(report.suspects.map { it.copy(cleared = true) })
+        expectThat(flights.sharedCopiesOf(cleared)).isEqualTo(emptyList())
+        listOf(1, 2, 3).forEach(flights::stop)
+        flights.start(4, request("a", "same"), isolated = true)
+        expectThat(flights.sharedCopiesOf(report)).isEqualTo(emptyList())
+    }
+
     /** Guards against growth by a flood of reports, and against losing the worst suspect to it. */
     @Test
     fun `a full book keeps the convicted and an expiry can't lie too far ahead`() {
--- a/entry/src/main/kotlin/org/vanilladale/entry/BoundRequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/BoundRequestRunner.kt
@@ -35,7 +35,7 @@
     suspend fun run(request: CallerRequest, sink: AnswerSink, isLeaving: Boolean): Refusal? =
         either {
             val asked = order(request).bind()
-            val decision = suspects.decide(asked.plan, listOf(asked.place.target))
+            val decision = suspects.decide(asked.plan) { listOf(asked.place.target) }
             val isolated = decision is SuspectDecision.RunIsolated
             val order = asked.copy(plan = asked.plan.copy(isolated = isolated))
             entryRefusalOrNull(order, decision, isLeaving)
--- a/entry/src/main/kotlin/org/vanilladale/entry/CrashSuspects.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CrashSuspects.kt
@@ -41,18 +41,32 @@
         book.reports(clock()).forEach { connection.trySend(it) }
     }
 
-    /** Decides how the request of [plan] runs. */
-    fun decide(
+    /** Decides how the request of [plan] runs; a suspect waits until late reports have come. */
+    suspend fun decide(
         plan: RequestPlan,
-        targets: Collection<TargetId> = live(plan.pool.name),
-    ): SuspectDecision = book.decide(fingerprintsOf(plan), targets, clock())
+        targets: () -> Collection<TargetId> = { live(plan.pool.name) },
+    ): SuspectDecision {
+        while (true) {
+            val now = clock()
+            val decision = book.decide(fingerprintsOf(plan), targets(), now)
+            if (decision !is SuspectDecision.RunIsolated || decision.settledAt.hasPassed(now)) {
+                return decision
+            }
+            if (decision.settledAt >= plan.deadline) {
+                val waiting = book.startRefusalOrNull(fingerprintsOf(plan), isolated = false, now)
+                    ?: return SuspectDecision.Run
+                return SuspectDecision.Refuse(waiting.copy(retryAt = decision.settledAt))
+            }
+            delay(decision.settledAt.millisecondsLeft(now))
+        }
+    }
 
     /** Chooses the target of the first attempt; a suspect gets the target where it runs alone. */
-    fun chooseFirst(
+    suspend fun chooseFirst(
         plan: RequestPlan,
         router: TargetRouter,
     ): Either<Refusal, Pair<RequestPlan, TargetId>> = when (val decision = decide(plan)) {
-        SuspectDecision.Run -> router.chooseFirst(plan).map { plan to it }
+        SuspectDecision.Run -> router.chooseFirst(plan).map { plan.copy(isolated = false) to it }
 
         is SuspectDecision.RunIsolated -> {
             router.started(plan.pool.name, decision.target)
@@ -63,7 +77,7 @@
     }
 
     /** Decides once more about a retry that [router] allowed to go to [target]. */
-    fun chooseRetry(
+    suspend fun chooseRetry(
         plan: RequestPlan,
         target: TargetId,
         router: TargetRouter,
--- a/entry/src/main/kotlin/org/vanilladale/entry/HedgedLookup.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/HedgedLookup.kt
@@ -1,16 +1,11 @@
 package org.vanilladale.entry
 
-import arrow.core.Either
-import arrow.core.getOrElse
-import arrow.core.left
-import arrow.core.right
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.selects.select
-import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RetryReason
 import org.vanilladale.core.retry.AttemptFailure
 import org.vanilladale.core.stream.AnswerAssembler
@@ -36,19 +31,24 @@
         val lines: List<AnswerLine>,
     )
 
-    /** Runs the look-up from [first] on; [createCall] makes the call of one attempt. */
+    /**
+     * Runs the look-up at the one target in [tried], and adds the target of a hedge to it.
+     *
+     * @param createCall makes the call of one attempt
+     * @return the failure of the attempt that ended last, or null when the caller has the answer
+     */
     suspend fun run(
         plan: RequestPlan,
-        first: TargetId,
+        tried: MutableSet<TargetId>,
         sink: AnswerSink,
         createCall: (TargetId) -> AttemptCall?,
-    ): Either<Refusal, Unit> = coroutineScope {
-        val tried = mutableSetOf(first)
-        val running = mutableListOf(start(plan, first, createCall))
+    ): AttemptFailure? = coroutineScope {
+        val running = mutableListOf(start(plan, tried.single(), createCall))
         var hedge: Deferred<Unit>? = async { delay(plan.route.hedgeDelayMilliseconds) }
         val hedgeAt = clock().deadlineAfter(plan.route.hedgeDelayMilliseconds)
-        var outcome: Either<Refusal, Unit>? = null
-        while (outcome == null) {
+        var failure: AttemptFailure? = null
+        var answered = false
+        while (running.isNotEmpty() && !answered) {
             val ended = select<Deferred<Collected>?> {
                 running.forEach { attempt -> attempt.onAwait { attempt } }
                 hedge?.onAwait { null }
@@ -60,42 +60,26 @@
                     tried += retry.target
                     running += start(plan, retry.target, createCall)
                 }
-                continue
-            }
-            running -= ended
-            outcome = onEnded(plan, ended.await(), tried, running, sink) {
-                running += start(plan, it, createCall)
+            } else {
+                running -= ended
+                failure = deliver(ended.await(), sink)
+                answered = failure == null
             }
         }
         hedge?.cancel()
         running.forEach { it.cancel() }
-        outcome
+        failure
     }
 
-    private suspend fun onEnded(
-        plan: RequestPlan,
-        collected: Collected,
-        tried: MutableSet<TargetId>,
-        running: List<Deferred<Collected>>,
-        sink: AnswerSink,
-        restart: (TargetId) -> Unit,
-    ): Either<Refusal, Unit>? {
-        val failure = when (val result = collected.result) {
+    private suspend fun deliver(collected: Collected, sink: AnswerSink): AttemptFailure? =
+        when (val result = collected.result) {
             AttemptResult.Complete -> {
                 collected.lines.forEach { sink.write(it, collected.target) }
-                return Unit.right()
+                null
             }
 
             is AttemptResult.Failed -> result.failure
         }
-        // Another attempt still runs; it decides the outcome.
-        if (running.isNotEmpty()) return null
-        val retry = router.decideRetry(plan, failure, tried).getOrElse { return it.left() }
-        counters.retried(retry.reason)
-        tried += retry.target
-        restart(retry.target)
-        return null
-    }
 
     private fun CoroutineScope.start(
         plan: RequestPlan,
--- a/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
@@ -83,42 +83,59 @@
     }
 
     private suspend fun serve(asked: RequestPlan, sink: AnswerSink): Either<Refusal, Unit> {
-        val request = newRequest()
         val (plan, first) = suspects.chooseFirst(asked, router).getOrElse { return it.left() }
-        val hedged = plan.route.hedgeBudgetPercent > 0 && !plan.isolated
-        return if (plan.pool.type == PoolType.SERVICE && hedged) {
-            hedgedLookup.run(plan, first, sink) { call(plan, request, it) }
-        } else {
-            attemptUntilDone(plan, request, first, sink)
+        val tried = mutableSetOf(first)
+        if (plan.pool.type != PoolType.SERVICE || !plan.hedged) {
+            return attemptUntilDone(plan, first, tried, sink)
         }
+        val request = newRequest()
+        val failure = hedgedLookup.run(plan, tried, sink) { call(plan, request, it) }
+            ?: return Unit.right()
+        val (next, target) = nextAttempt(plan, failure, tried).getOrElse { return it.left() }
+        return attemptUntilDone(next, target, tried, sink)
     }
 
     private suspend fun attemptUntilDone(
         asked: RequestPlan,
-        request: RequestId,
         first: TargetId,
+        tried: MutableSet<TargetId>,
         sink: AnswerSink,
     ): Either<Refusal, Unit> {
         var plan = asked
-        val assembler = AnswerAssembler(request, plan.request.head.offset)
-        val tried = mutableSetOf(first)
         var target = first
+        val request = newRequest()
+        val assembler = AnswerAssembler(request, plan.request.head.offset)
         while (true) {
             val failure = when (val result = attempt(plan, request, target, assembler, sink)) {
                 AttemptResult.Complete -> return suspects.completed(plan).right()
                 is AttemptResult.Failed -> result.failure
             }
-            val retry = router.decideRetry(plan, failure, tried)
-                .getOrElse { return interrupted(it, sink).left() }
-            counters.retried(retry.reason)
-            val next = suspects.chooseRetry(plan, retry.target, router)
+            val next = nextAttempt(plan, failure, tried)
                 .getOrElse { return interrupted(it, sink).left() }
             plan = next.first
             target = next.second
-            tried += target
         }
     }
 
+    private suspend fun nextAttempt(
+        plan: RequestPlan,
+        failure: AttemptFailure,
+        tried: MutableSet<TargetId>,
+    ): Either<Refusal, Pair<RequestPlan, TargetId>> = either {
+        val next = if (failure.retryReason == RetryReason.SUSPECT_ISOLATED) {
+            ensure(!plan.wasWithdrawn) { failure.refusal }
+            counters.retried(RetryReason.SUSPECT_ISOLATED)
+            // No failure of a target, so neither its exclusion nor the retry budget applies.
+            suspects.chooseFirst(plan.copy(wasWithdrawn = true), router).bind()
+        } else {
+            val retry = router.decideRetry(plan, failure, tried).bind()
+            counters.retried(retry.reason)
+            suspects.chooseRetry(plan, retry.target, router).bind()
+        }
+        tried += next.second
+        next
+    }
+
     private suspend fun attempt(
         plan: RequestPlan,
         request: RequestId,
