--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RetryReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RetryReason.kt
@@ -14,5 +14,6 @@
     TARGET_LEAVING("target-leaving"),
     TARGET_LOADING("target-loading"),
     TARGET_FAILED("target-failed"),
+    SUSPECT_ISOLATED("suspect-isolated"),
     HEDGE("hedge"),
 }
