Treat an engine's load report of another shape as no report

Cause: a value of another JSON type in an engine's answer threw in EngineLoads and ended the loop that follows tables and engine, so the agent never loaded anything again. Vert.x also turns any value into text, so that an object in place of the model's name passed for another model and led to a load.

Ruled out: names that can't be parsed alone; they were read as nothing loaded, which is the same fault.

Change: such a report counts as none; a failed load with a time of another type is tried again without it.

--- a/agent/src/main/kotlin/org/vanilladale/agent/rollout/EngineLoads.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rollout/EngineLoads.kt
@@ -43,7 +43,7 @@
         }
         return response?.takeIf {
             it.statusCode() == HTTP_OK
-        }?.let { bodyOrNull(it) }?.let(::models)
+        }?.let { bodyOrNull(it) }?.let { body -> valueOrNull { modelsOrNull(body) } }
     }
 
     /**
@@ -68,16 +68,34 @@
     }
 
     private fun failed(body: JsonObject?) = LoadResult.Failed(
-        LoadFailure.fromCode(body?.getString("reason")),
-        body?.getLong("retryAt")?.let { Deadline.fromEpochMilliseconds(it) },
+        LoadFailure.fromCode(valueOrNull { body?.getString("reason") }),
+        valueOrNull { body?.getLong("retryAt") }?.let { Deadline.fromEpochMilliseconds(it) },
     )
 
-    private fun models(json: JsonObject) = EngineModels(
-        json.getString("model")?.let(ModelName::parseOrNull),
-        json.getString("version")?.let(ModelVersion::parseOrNull),
-        json.getJsonArray("adapters")?.mapNotNull { adapterOrNull(it as JsonObject) }.orEmpty(),
-        json.getBoolean("loading", false),
-    )
+    /** An engine may answer with JSON of another shape, which Vert.x reports by this exception. */
+    private fun <T : Any> valueOrNull(read: () -> T?): T? = try {
+        read()
+    } catch (_: ClassCastException) {
+        null
+    }
+
+    /** A name that can't be read is no sign that nothing is loaded, so the report is dropped. */
+    private fun modelsOrNull(json: JsonObject): EngineModels? {
+        // getString would turn a value of any type into text.
+        val model = json.getValue("model") as String?
+        val version = json.getValue("version") as String?
+        val adapters = json.getJsonArray("adapters")?.map { adapterOrNull(it as JsonObject) }
+        val models = EngineModels(
+            model?.let(ModelName::parseOrNull),
+            version?.let(ModelVersion::parseOrNull),
+            adapters.orEmpty().filterNotNull(),
+            json.getBoolean("loading", false),
+        )
+        return models.takeIf {
+            (it.model != null || model == null) && (it.version != null || version == null) &&
+                it.adapters.size == adapters.orEmpty().size
+        }
+    }
 
     private fun adapterOrNull(json: JsonObject): Adapter? {
         val name = AdapterName.parseOrNull(json.getString("name", "")) ?: return null
