--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/RankGroupFleet.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/RankGroupFleet.kt
@@ -127,7 +127,7 @@
         val key = "stream-${keys++}"
         CompletableFuture.supplyAsync<Unit> {
             val body = fleet.send("entry-0", "draft", key, prompt).body()
-            expectThat(AnswerText.fromLines(body))
+            expectThat(AnswerText.fromLines(body)).describedAs(body.lines().takeLast(2).toString())
                 .isEqualTo(AnswerText.ofWhole(AnswerTokens.answer(prompt.toByteArray(), tokens)))
         }
     }
