--- a/core/src/main/kotlin/org/vanilladale/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/rollout/Rollout.kt
@@ -118,15 +118,8 @@
         val paused = gap > options.pauseMilliseconds || !tick.connected
         val current = (if (paused) listening(state, now) else state).copy(lastTickAt = now)
         return when (val stage = current.stage) {
-            LoadStage.Idle -> if (mayStart(
-                    current,
-                    now,
-                )
-            ) {
-                start(current, now)
-            } else {
-                unchanged(current)
-            }
+            LoadStage.Idle ->
+                if (mayStart(current, now)) start(current, now) else unchanged(current)
 
             is LoadStage.Draining ->
                 if (tick.inFlight == 0 || stage.until.hasPassed(now)) {
--- a/demo.sh
+++ b/demo.sh
@@ -46,7 +46,7 @@
 start() {
   local name=$1 program=$2
   shift 2
-  java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m -jar "${jars[$program]}" "$@" \
+  java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms16m -Xmx128m -jar "${jars[$program]}" "$@" \
     >"$logs/$name.log" 2>&1 &
   names+=("$name")
   ids+=("$!")
