Look up what is held against a request in one place

Cause: SuspectBook.decide and startRefusalOrNull read both records and counted crashes with the same three lines.

Change: suspicionOf does it for both. No behaviour changes.

--- a/core/src/main/kotlin/org/vanilladale/core/crash/SuspectBook.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/SuspectBook.kt
@@ -34,9 +34,7 @@
         live: Collection<TargetId>,
         now: Timestamp,
     ): SuspectDecision {
-        val byContent = openRecordOrNull(request.content, now)
-        val byKey = openRecordOrNull(request.key, now)
-        val crashes = maxOf(byContent.crashCount, byKey.crashCount)
+        val (byContent, byKey, crashes) = suspicionOf(request, now)
         if (crashes == 0) return SuspectDecision.Run
         if (crashes >= CONVICTING_CRASHES) return refuse(RefusalReason.SUSPECT_CONVICTED, byKey)
         val target = rendezvousChoice(request.content.text, live) { it.text }
@@ -55,9 +53,7 @@
         isolated: Boolean,
         now: Timestamp,
     ): Refusal? {
-        val byContent = openRecordOrNull(request.content, now)
-        val byKey = openRecordOrNull(request.key, now)
-        val crashes = maxOf(byContent.crashCount, byKey.crashCount)
+        val (_, byKey, crashes) = suspicionOf(request, now)
         return when {
             crashes >= CONVICTING_CRASHES ->
                 refuse(RefusalReason.SUSPECT_CONVICTED, byKey).refusal
@@ -102,6 +98,19 @@
     /** Returns the number of records, one shard after the other. */
     public fun size(): Int = shards.mapShards { it.size }.sum()
 
+    /** What is held against a request; [crashes] is the larger number of open crashes. */
+    private data class Suspicion(
+        val byContent: CrashRecord?,
+        val byKey: CrashRecord?,
+        val crashes: Int,
+    )
+
+    private fun suspicionOf(request: RequestFingerprints, now: Timestamp): Suspicion {
+        val byContent = openRecordOrNull(request.content, now)
+        val byKey = openRecordOrNull(request.key, now)
+        return Suspicion(byContent, byKey, maxOf(byContent.crashCount, byKey.crashCount))
+    }
+
     private fun openRecordOrNull(fingerprint: Fingerprint, now: Timestamp): CrashRecord? =
         shards.withShard(fingerprint) { it.openRecordOrNull(fingerprint, now) }
 
