--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/CallerAddresses.kt
@@ -0,0 +1,43 @@
+package org.vanilladale.core.gateway
+
+import kotlin.random.Random
+import org.vanilladale.schema.DataCentreName
+import org.vanilladale.schema.VmId
+
+/** An entry that could be named to a caller. */
+public data class AddressCandidate(
+    val vm: VmId,
+    val dataCentre: DataCentreName,
+    val serving: Boolean,
+)
+
+/** Chooses the entries that a caller is told to use. */
+public object CallerAddresses {
+    /** Most entries of one answer. */
+    public const val MOST: Int = 64
+
+    /** With fewer entries in the caller's data centre, one failure would hit too many requests. */
+    public const val FEWEST_NEAR: Int = 3
+
+    /**
+     * Returns serving entries in random order: those of [near] alone when there are enough of
+     * them, all others as well when there are not.
+     *
+     * [live] are the entries heard lately, this one included, and [lost] those that fell silent.
+     * An entry that lost more than half of its peers is more likely to be cut off itself, so it
+     * names the lost ones as well: callers may reach them.
+     */
+    public fun choose(
+        live: List<AddressCandidate>,
+        lost: List<AddressCandidate>,
+        near: DataCentreName?,
+        random: Random,
+    ): List<VmId> {
+        val isCutOff = lost.size >= live.size
+        val known = if (isCutOff) live + lost else live
+        val serving = known.filter { it.serving }.shuffled(random)
+        val (close, far) = serving.partition { it.dataCentre == near }
+        val chosen = if (close.size >= FEWEST_NEAR) close else close + far
+        return chosen.take(MOST).map { it.vm }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
@@ -0,0 +1,120 @@
+package org.vanilladale.core.gateway
+
+import org.vanilladale.schema.EntryBeat
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.SocketAddressText
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.VmId
+
+/**
+ * What one entry knows of the others from their beats, and the load that all of them together put
+ * on each target. Keep it under a lock.
+ */
+public class FleetView(
+    private val own: VmId,
+    private val silenceMilliseconds: Long = DEFAULT_SILENCE_MILLISECONDS,
+) {
+    private class Sum {
+        var running = 0
+        var failures = 0
+        var gaps = 0
+        var gapMilliseconds = 0
+    }
+
+    private val peers = LinkedHashMap<VmId, PeerEntry>()
+    private val silent = LinkedHashMap<VmId, PeerEntry>()
+    private val sums = HashMap<TargetId, Sum>()
+    private val waiting = HashMap<PoolName, Int>()
+    private val waitingEntries = HashMap<PoolName, Int>()
+
+    /** Peers that were heard lately. */
+    public val live: Collection<PeerEntry> get() = peers.values
+
+    /** Peers that fell silent; their last word is kept, since they may only be cut off. */
+    public val lost: Collection<PeerEntry> get() = silent.values
+
+    /** Entries that share budgets: this one and all that were heard, lost ones included. */
+    public val entryCount: Int get() = 1 + peers.size + silent.size
+
+    /** Highest configuration that a live peer has in force, or null when none has any. */
+    public val highestTablesRevision: Revision?
+        get() = peers.values.mapNotNull { it.beat.tablesRevision }.maxOrNull()
+
+    /** Takes a beat; returns false for an old one, a copy, or one of this entry itself. */
+    public fun heard(beat: EntryBeat, now: Timestamp): Boolean {
+        if (beat.vm == own) return false
+        val known = peers[beat.vm]
+        // A restart with a clock that was set back has a lower incarnation; the old one is silent.
+        if (known != null && !isNewer(beat, known.beat)) return false
+        peers.remove(beat.vm)?.let { add(it.beat, -1) }
+        silent.remove(beat.vm)
+        peers[beat.vm] = PeerEntry(beat, now.deadlineAfter(silenceMilliseconds))
+        add(beat, 1)
+        return true
+    }
+
+    /** Moves peers that were not heard for too long to the lost ones; returns those. */
+    public fun expire(now: Timestamp): List<PeerEntry> {
+        val expired = peers.values.filter { it.silentAt.hasPassed(now) }
+        expired.forEach { peer ->
+            peers.remove(peer.beat.vm)
+            add(peer.beat, -1)
+            silent[peer.beat.vm] = peer
+        }
+        while (silent.size > MOST_LOST) silent.remove(silent.keys.first())
+        return expired
+    }
+
+    /** Returns the addresses of all peers, lost ones included. */
+    public fun addresses(): List<SocketAddressText> =
+        (peers.values + silent.values).map { it.beat.address }
+
+    /** Returns the requests that peers have at [target]. */
+    public fun running(target: TargetId): Int = sums[target]?.running ?: 0
+
+    /** Returns the failed attempts that peers saw at [target] in the last seconds. */
+    public fun failures(target: TargetId): Int = sums[target]?.failures ?: 0
+
+    /** Returns the mean time between events that peers see at [target]; null when none does. */
+    public fun gapOrNull(target: TargetId): Double? =
+        sums[target]?.takeIf { it.gaps > 0 }?.let { it.gapMilliseconds.toDouble() / it.gaps }
+
+    /** Returns the requests that wait at peers for a place in [pool]. */
+    public fun waiting(pool: PoolName): Int = waiting[pool] ?: 0
+
+    /** Returns the number of peers at which requests wait for a place in [pool]. */
+    public fun waitingEntries(pool: PoolName): Int = waitingEntries[pool] ?: 0
+
+    private fun isNewer(beat: EntryBeat, known: EntryBeat): Boolean =
+        if (beat.incarnation == known.incarnation) {
+            beat.sequence > known.sequence
+        } else {
+            beat.incarnation > known.incarnation
+        }
+
+    private fun add(beat: EntryBeat, sign: Int) {
+        beat.targets.forEach { share ->
+            val sum = sums.getOrPut(share.target) { Sum() }
+            sum.running += sign * share.running
+            sum.failures += sign * share.failures
+            if (share.gapMilliseconds > 0) {
+                sum.gaps += sign
+                sum.gapMilliseconds += sign * share.gapMilliseconds
+            }
+        }
+        beat.waiting.forEach { row ->
+            waiting.merge(row.pool, sign * row.waiting, Int::plus)
+            if (row.waiting > 0) waitingEntries.merge(row.pool, sign, Int::plus)
+        }
+    }
+
+    public companion object {
+        /** Four beats of an idle peer, so that a few lost datagrams are no silence. */
+        public const val DEFAULT_SILENCE_MILLISECONDS: Long = 1_000
+
+        /** Bounds the memory for peers that never return. */
+        private const val MOST_LOST = 512
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/GatewayTables.kt
@@ -0,0 +1,36 @@
+package org.vanilladale.core.gateway
+
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.Revision
+
+/**
+ * One version of the configuration. Immutable.
+ *
+ * @property byKey workspace of each key; null when requests need no keys
+ */
+public class GatewayTables(
+    public val revision: Revision,
+    routes: List<GatewayRoute>,
+    pools: List<GatewayPool>,
+    public val limits: CallerLimits,
+    private val byKey: Map<String, GatewayWorkspace>?,
+) {
+    private val byHost: Map<String, List<GatewayRoute>> =
+        routes.groupBy { it.host }.mapValues { (_, ofHost) ->
+            ofHost.sortedByDescending { it.prefix.length }
+        }
+    private val byName: Map<PoolName, GatewayPool> = pools.associateBy { it.name }
+
+    /** True when each request on a route that is not public has to carry a key. */
+    public val needsKeys: Boolean get() = byKey != null
+
+    /** Returns the route of [host] with the longest prefix of [path], or null without one. */
+    public fun routeOrNull(host: String, path: String): GatewayRoute? =
+        byHost[host]?.firstOrNull { path.startsWith(it.prefix) }
+
+    /** Returns the workspace that holds [key], or null for an unknown key. */
+    public fun workspaceOrNull(key: String): GatewayWorkspace? = byKey?.get(key)
+
+    /** Returns the pool [name], or null when this version does not name it. */
+    public fun poolOrNull(name: PoolName): GatewayPool? = byName[name]
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/GatewayWorkspace.kt
@@ -0,0 +1,6 @@
+package org.vanilladale.core.gateway
+
+import org.vanilladale.schema.WorkspaceId
+
+/** A workspace; its [priority], if any, takes precedence over that of the route. */
+public data class GatewayWorkspace(val id: WorkspaceId, val priority: Int?)
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -0,0 +1,132 @@
+package org.vanilladale.core.gateway
+
+import kotlin.random.Random
+
+/**
+ * A target that a request could go to.
+ *
+ * @property running requests that all entries together have at the target
+ * @property failures failed attempts of all entries in the last seconds
+ * @property gapMilliseconds time between events that entries see at the target; null when unseen
+ * @property avoided whether this entry could not reach the target a moment ago
+ * @property near whether the target is in the data centre of this entry
+ */
+public data class PlacementCandidate(
+    val target: KnownTarget,
+    val running: Int,
+    val failures: Int,
+    val gapMilliseconds: Double?,
+    val avoided: Boolean,
+    val near: Boolean,
+)
+
+/**
+ * Chooses the target of an attempt; answers the steady load and bursts of streams.
+ *
+ * All ranks of a group run each pass together, so a pass lasts as long as that of the fullest rank.
+ * A request goes to the group whose passes stay shortest with it, there to the emptiest rank. A rank
+ * takes only as many requests as keep the pauses between events under the goal of the route.
+ */
+public class TargetPlacement(private val random: Random) {
+    private class Group(val members: List<PlacementCandidate>) {
+        var slowdown = 1.0
+        var limit = 0
+    }
+
+    /** Returns the chosen candidate, or null when none has a free place. */
+    public fun chooseOrNull(
+        candidates: List<PlacementCandidate>,
+        engine: EngineProfile?,
+        gapGoalMilliseconds: Long,
+    ): PlacementCandidate? {
+        val sound = candidates.filter { !it.avoided && it.failures < SUSPECT_FAILURES }
+        val preferred = sound.ifEmpty { candidates.filter { !it.avoided } }.ifEmpty { candidates }
+        return if (engine == null) {
+            leastLoadedOrNull(preferred)
+        } else {
+            inGroupsOrNull(preferred, candidates, engine, gapGoalMilliseconds)
+        }
+    }
+
+    /** Returns how many requests the [candidates] run at a time. */
+    public fun places(
+        candidates: List<PlacementCandidate>,
+        engine: EngineProfile?,
+        gapGoalMilliseconds: Long,
+    ): Int = if (engine == null) {
+        candidates.sumOf { it.target.slots }
+    } else {
+        groupsOf(candidates, engine, gapGoalMilliseconds).values.sumOf { it.limit * it.members.size }
+    }
+
+    private fun leastLoadedOrNull(candidates: List<PlacementCandidate>): PlacementCandidate? =
+        candidates.filter { it.running < limitOf(it) }
+            .shuffled(random)
+            .minByOrNull { it.running.toDouble() / it.target.slots - if (it.near) NEAR_BONUS else 0.0 }
+
+    /** A plain service queues a few requests, which costs less than a refusal. */
+    private fun limitOf(candidate: PlacementCandidate) =
+        candidate.target.slots * SERVICE_QUEUE_FACTOR
+
+    private fun inGroupsOrNull(
+        preferred: List<PlacementCandidate>,
+        all: List<PlacementCandidate>,
+        engine: EngineProfile,
+        gapGoalMilliseconds: Long,
+    ): PlacementCandidate? {
+        val groups = groupsOf(all, engine, gapGoalMilliseconds)
+        val usable = preferred.filter { it.running < groups.getValue(groupKey(it)).limit }
+        return usable.shuffled(random).minByOrNull { candidate ->
+            val group = groups.getValue(groupKey(candidate))
+            val fullest = maxOf(group.members.maxOf { it.running }, candidate.running + 1)
+            // The second term orders the ranks of one group, whose passes last equally long.
+            group.slowdown * engine.passMilliseconds(fullest) +
+                candidate.running * RANK_WEIGHT * engine.requestMilliseconds
+        }
+    }
+
+    private fun groupsOf(
+        candidates: List<PlacementCandidate>,
+        engine: EngineProfile,
+        gapGoalMilliseconds: Long,
+    ): Map<Any, Group> = candidates.groupBy(::groupKey).mapValues { (_, members) ->
+        Group(members).apply {
+            slowdown = slowdownOf(members, engine)
+            limit = limitOf(engine, slowdown, gapGoalMilliseconds)
+        }
+    }
+
+    /** Passes last longer than the model says while experts are in uneven demand or a rank is slow. */
+    private fun slowdownOf(members: List<PlacementCandidate>, engine: EngineProfile): Double {
+        val gaps = members.mapNotNull { it.gapMilliseconds }
+        if (gaps.isEmpty()) return 1.0
+        val modelled = engine.passMilliseconds(members.maxOf { it.running }.coerceAtLeast(1))
+        return (gaps.average() / modelled).coerceIn(1.0, MOST_SLOWDOWN)
+    }
+
+    private fun limitOf(engine: EngineProfile, slowdown: Double, gapGoalMilliseconds: Long): Int {
+        if (gapGoalMilliseconds <= 0) return engine.slots
+        val allowed = gapGoalMilliseconds * GAP_SHARE / slowdown
+        val most = (1..engine.slots).lastOrNull { engine.passMilliseconds(it) <= allowed }
+        // Where even one request misses the goal, fewer requests would not help any of them.
+        return most ?: engine.slots
+    }
+
+    private fun groupKey(candidate: PlacementCandidate): Any =
+        candidate.target.group ?: candidate.target.id
+
+    public companion object {
+        /** Failures of the whole fleet in a few seconds from which a target is used last. */
+        public const val SUSPECT_FAILURES: Int = 2
+
+        /** Requests at a target of a plain service for each of its slots. */
+        public const val SERVICE_QUEUE_FACTOR: Int = 3
+
+        /** Part of the goal for pauses that passes may take; the rest is for reading prompts. */
+        public const val GAP_SHARE: Double = 0.9
+
+        private const val MOST_SLOWDOWN = 20.0
+        private const val NEAR_BONUS = 0.1
+        private const val RANK_WEIGHT = 0.5
+    }
+}
--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
@@ -119,6 +119,12 @@
         RunState.UNKNOWN,
         "Resume with the request key and the offset that you hold.",
     ),
+    INTERNAL_FAULT(
+        "internal-fault",
+        500,
+        RunState.UNKNOWN,
+        "Look up whether the request ran; operators find the fault in the log of the entry.",
+    ),
     LOADING("loading", 503, RunState.NO, "Retry later; the target loads a model version."),
     NO_ADAPTER(
         "no-adapter",
@@ -126,6 +132,7 @@
         RunState.NO,
         "Name an adapter of the pool, or retry once a target has loaded it.",
     ),
+    UNKNOWN_KEY("unknown-key", 401, RunState.NO, "Send a key that a workspace holds."),
     NOT_AUTHORIZED("not-authorized", 401, RunState.NO, "Send the operator token."),
     ;
 
--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RetryReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RetryReason.kt
@@ -14,6 +14,7 @@
     TARGET_LEAVING("target-leaving"),
     TARGET_LOADING("target-loading"),
     TARGET_FAILED("target-failed"),
+    TARGET_REPLACED("target-replaced"),
     SUSPECT_ISOLATED("suspect-isolated"),
     HEDGE("hedge"),
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/retry/ResendDecision.kt
@@ -0,0 +1,76 @@
+package org.vanilladale.core.retry
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import org.vanilladale.core.gateway.RepeatRule
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.core.refusal.RetryReason
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.RunState
+import org.vanilladale.schema.Timestamp
+
+/**
+ * A forwarded request whose last attempt failed.
+ *
+ * @property mayHaveRun whether any attempt so far, the last one included, may have run
+ * @property runs attempts so far that were not proven not to have run
+ * @property sends attempts so far
+ */
+public data class FailedRequest(
+    val repeat: RepeatRule,
+    val end: AttemptEnd,
+    val runs: Int,
+    val sends: Int,
+    val maximumAttempts: Int,
+    val deadline: Deadline,
+) {
+    val mayHaveRun: Boolean get() = runs > 0
+}
+
+/** Decides whether a forwarded request is sent to another target. */
+public object ResendDecision {
+    /** Sends of one request at most, those that were proven not to have run included. */
+    public const val MAXIMUM_SENDS: Int = 4
+
+    /** With less time left no target would answer. */
+    public const val LEAST_LEFT_MILLISECONDS: Long = 20
+
+    /**
+     * Returns the reason of the next attempt, or the refusal for the caller.
+     *
+     * A request that may run only once is sent again only while each attempt is proven not to have
+     * run. [takeBudget] is asked last, so that an attempt that can't be made costs nothing.
+     */
+    public fun decide(
+        request: FailedRequest,
+        now: Timestamp,
+        takeBudget: () -> Boolean,
+    ): Either<Refusal, RetryReason> = either {
+        val run = if (request.mayHaveRun) RunState.UNKNOWN else RunState.NO
+        val isLate = request.deadline.millisecondsLeft(now) < LEAST_LEFT_MILLISECONDS
+        ensure(!isLate) { Refusal(RefusalReason.DEADLINE_PASSED, run) }
+        val failed = refusalOf(request.end, run)
+        ensure(request.repeat.mayRunAgain || !request.mayHaveRun) { failed }
+        ensure(request.runs < request.maximumAttempts && request.sends < MAXIMUM_SENDS) { failed }
+        ensure(takeBudget()) {
+            Refusal(
+                RefusalReason.RETRY_BUDGET_EMPTY,
+                run,
+                detail = "the last attempt ended with ${request.end.reason.code}",
+                retryAt = now.deadlineAfter(RETURN_MILLISECONDS),
+            )
+        }
+        request.end.reason
+    }
+
+    private fun refusalOf(end: AttemptEnd, run: RunState): Refusal = when {
+        run == RunState.NO -> Refusal(RefusalReason.TARGET_OVERLOADED, run, detail = end.reason.code)
+        end == AttemptEnd.SILENT -> Refusal(RefusalReason.DEADLINE_PASSED, run)
+        else -> Refusal(RefusalReason.TARGET_FAILED, run, detail = end.reason.code)
+    }
+
+    /** Time in which a full or failing target recovers enough for another try. */
+    private const val RETURN_MILLISECONDS = 200L
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/stream/EventSplitter.kt
@@ -0,0 +1,63 @@
+package org.vanilladale.core.stream
+
+/**
+ * One event of a `text/event-stream` body, its blank line included.
+ *
+ * @property id the number in its `id` line; null without one
+ */
+public class StreamEvent(public val bytes: ByteArray, public val id: Long?)
+
+/**
+ * Cuts a `text/event-stream` body into whole events, whatever the pieces in which it arrives.
+ *
+ * Only whole events are handed out, so that a stream that breaks off in the middle of an event can
+ * be continued by another target after the last whole one.
+ */
+public class EventSplitter {
+    private var pending = ByteArray(0)
+
+    /** True when bytes of an unfinished event wait. */
+    public val hasPartial: Boolean get() = pending.isNotEmpty()
+
+    /** Takes the next [bytes] of the body and returns the events that they complete. */
+    public fun feed(bytes: ByteArray): List<StreamEvent> {
+        pending += bytes
+        val events = ArrayList<StreamEvent>(1)
+        var start = 0
+        while (true) {
+            val end = endOfEvent(start)
+            if (end < 0) break
+            val event = pending.copyOfRange(start, end)
+            events += StreamEvent(event, idOf(event))
+            start = end
+        }
+        if (start > 0) pending = pending.copyOfRange(start, pending.size)
+        return events
+    }
+
+    /** Returns the index after the blank line that ends the event at [start], or -1. */
+    private fun endOfEvent(start: Int): Int {
+        var lineStart = start
+        for (index in start until pending.size) {
+            if (pending[index] != LINE_FEED) continue
+            val length = index - lineStart
+            val blank = length == 0 || (length == 1 && pending[lineStart] == CARRIAGE_RETURN)
+            if (blank && lineStart > start) return index + 1
+            lineStart = index + 1
+        }
+        return -1
+    }
+
+    private fun idOf(event: ByteArray): Long? = event.decodeToString()
+        .lineSequence()
+        .firstOrNull { it.startsWith(ID_FIELD) }
+        ?.removePrefix(ID_FIELD)
+        ?.trim()
+        ?.toLongOrNull()
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -0,0 +1,170 @@
+package org.vanilladale.gateway
+
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientResponse
+import kotlinx.coroutines.withTimeoutOrNull
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.retry.AttemptEnd
+import org.vanilladale.core.stream.EventSplitter
+import org.vanilladale.schema.Timestamp
+
+/** Runs one attempt at one target and passes its answer on. */
+internal class AttemptRunner(
+    private val client: HttpClient,
+    private val dialect: RequestDialect,
+    private val silence: SilenceLimits,
+    private val clock: () -> Timestamp,
+    private val onGap: (ForwardedRequest, KnownTarget, Long) -> Unit,
+) {
+    /** Runs an attempt; [progress] is null unless the route is a stream. */
+    suspend fun run(
+        request: ForwardedRequest,
+        target: KnownTarget,
+        mayRepeat: Boolean,
+        progress: StreamProgress?,
+        answer: CallerAnswer,
+    ): AttemptResult {
+        val exchange =
+            TargetExchange.connectOrNull(client, target.address, request.method, request.uri)
+                ?: return AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection")
+        return try {
+            exchange.send(headersFor(request, target, progress), request.body)
+            val limit = silence.firstAnswer(request, mayRepeat)
+            val head = withTimeoutOrNull(limit) { exchange.head() }
+                ?: return AttemptResult.Failed(AttemptEnd.SILENT, "no answer within $limit ms")
+            receive(Attempt(request, target, exchange, mayRepeat), head, progress, answer)
+        } catch (broken: BrokenExchangeException) {
+            AttemptResult.Failed(AttemptEnd.BROKEN, broken.message.orEmpty())
+        } finally {
+            exchange.close()
+        }
+    }
+
+    private class Attempt(
+        val request: ForwardedRequest,
+        val target: KnownTarget,
+        val exchange: TargetExchange,
+        val mayRepeat: Boolean,
+    )
+
+    private fun headersFor(
+        request: ForwardedRequest,
+        target: KnownTarget,
+        progress: StreamProgress?,
+    ) = dialect.writeTarget(
+        ForwardedHead(
+            request.headers,
+            request.head.request,
+            target.id,
+            request.workspace?.id,
+            request.deadline.millisecondsLeft(clock()),
+            progress?.lastEvent,
+        ),
+    )
+
+    private suspend fun receive(
+        attempt: Attempt,
+        response: HttpClientResponse,
+        progress: StreamProgress?,
+        answer: CallerAnswer,
+    ): AttemptResult {
+        val head = dialect.readTarget(response, attempt.request.head.request)
+        return when {
+            head.isOtherTarget -> AttemptResult.Failed(AttemptEnd.WRONG_TARGET, "another target")
+
+            head.isNotRun -> AttemptResult.Failed(AttemptEnd.REJECTED, "status ${head.status}")
+
+            !head.echoesRequest || head.isEncoded ->
+                AttemptResult.Failed(AttemptEnd.BROKEN, "not the answer to this request")
+
+            head.isSuccess && !head.isSigned ->
+                AttemptResult.Failed(AttemptEnd.BROKEN, "success without a signature")
+
+            head.isSuccess && progress != null -> relay(attempt, response, progress, answer)
+
+            progress != null && answer.started -> {
+                AttemptResult.Failed(AttemptEnd.FAILED, "status ${head.status} to a resume")
+            }
+
+            else -> receiveWhole(attempt, response, head, answer)
+        }
+    }
+
+    private suspend fun receiveWhole(
+        attempt: Attempt,
+        response: HttpClientResponse,
+        head: TargetHead,
+        answer: CallerAnswer,
+    ): AttemptResult {
+        val body = Buffer.buffer()
+        while (true) {
+            val limit = silence.nextPart(attempt.request, attempt.mayRepeat)
+            val part = withTimeoutOrNull(limit) { Part(attempt.exchange.nextOrNull()) }
+                ?: return AttemptResult.Failed(AttemptEnd.SILENT, "body stopped for $limit ms")
+            body.appendBuffer(part.bytes ?: break)
+            if (body.length() > MOST_BODY_BYTES) {
+                return AttemptResult.Failed(AttemptEnd.BROKEN, "body over $MOST_BODY_BYTES bytes")
+            }
+        }
+        val held = HeldAnswer(head.status, dialect.writeCaller(response.headers()), body)
+        if (head.isFailure || !head.isSigned) {
+            val own = held.takeIf { head.isSigned }
+            return AttemptResult.Failed(AttemptEnd.FAILED, "status ${head.status}", own)
+        }
+        answer.write(held.status, held.headers, held.body)
+        return AttemptResult.Delivered(held.status)
+    }
+
+    private suspend fun relay(
+        attempt: Attempt,
+        response: HttpClientResponse,
+        progress: StreamProgress,
+        answer: CallerAnswer,
+    ): AttemptResult {
+        val splitter = EventSplitter()
+        // The pause before the first event of an attempt says nothing of the passes of its target.
+        var first = true
+        while (true) {
+            val limit = if (first) {
+                silence.firstAnswer(attempt.request, attempt.mayRepeat)
+            } else {
+                silence.nextPart(attempt.request, attempt.mayRepeat)
+            }
+            val part = withTimeoutOrNull(limit) { Part(attempt.exchange.nextOrNull()) }
+                ?: return AttemptResult.Failed(AttemptEnd.SILENT, "no event within $limit ms")
+            val bytes = part.bytes ?: break
+            for (event in splitter.feed(bytes.bytes)) {
+                if (isRepeated(event.id, progress)) continue
+                if (!answer.started) {
+                    answer.start(response.statusCode(), dialect.writeCaller(response.headers()))
+                }
+                val gap = progress.delivered(event.id, clock())
+                if (gap != null && !first) onGap(attempt.request, attempt.target, gap)
+                first = false
+                answer.writePart(event.bytes)
+            }
+        }
+        if (splitter.hasPartial) {
+            return AttemptResult.Failed(AttemptEnd.BROKEN, "stream ended within an event")
+        }
+        if (!answer.started) {
+            answer.start(response.statusCode(), dialect.writeCaller(response.headers()))
+        }
+        answer.end()
+        return AttemptResult.Delivered(response.statusCode())
+    }
+
+    private fun isRepeated(id: Long?, progress: StreamProgress): Boolean {
+        val last = progress.lastEvent ?: return false
+        return id != null && id <= last
+    }
+
+    /** Tells the end of a body apart from a time-out. */
+    private class Part(val bytes: Buffer?)
+
+    private companion object {
+        /** Answers of plain services have a few KB; this bounds the memory of an entry. */
+        const val MOST_BODY_BYTES = 8 shl 20
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/FleetRetryBudget.kt
@@ -0,0 +1,44 @@
+package org.vanilladale.gateway
+
+import org.vanilladale.core.gateway.FleetView
+import org.vanilladale.core.retry.WindowedRetryBudget
+import org.vanilladale.core.shard.Locked
+import org.vanilladale.core.shard.Sharded
+import org.vanilladale.schema.GatewaySettings
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.Timestamp
+
+/** The part of this entry of each pool's retry budget. Thread-safe. */
+internal class FleetRetryBudget(
+    private val settings: GatewaySettings,
+    private val fleet: Locked<FleetView>,
+    private val clock: () -> Timestamp,
+) {
+    private val budgets =
+        Sharded<PoolName, HashMap<PoolName, WindowedRetryBudget>>(SHARDS) { HashMap() }
+
+    /** Counts the first attempt of a request to [pool]. */
+    fun requested(pool: PoolName) = withBudget(pool) { requested(clock()) }
+
+    /** Takes one repeat to [pool]; false when the part of this entry is used up. */
+    fun tryTake(pool: PoolName): Boolean {
+        val entries = fleet.use { it.entryCount }
+        return withBudget(pool) { tryTake(entries, clock()) }
+    }
+
+    private fun <R> withBudget(pool: PoolName, block: WindowedRetryBudget.() -> R): R =
+        budgets.withShard(pool) { shard ->
+            shard.getOrPut(pool) {
+                WindowedRetryBudget(
+                    settings.retryBudgetRatio,
+                    settings.retryBudgetSlack,
+                    (settings.retryBudgetWindowSeconds * MILLISECONDS).toLong(),
+                )
+            }.block()
+        }
+
+    private companion object {
+        const val SHARDS = 4
+        const val MILLISECONDS = 1_000
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
@@ -0,0 +1,35 @@
+package org.vanilladale.gateway
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.GatewayRoute
+import org.vanilladale.core.gateway.GatewayWorkspace
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.Timestamp
+
+/**
+ * A request that was read to its end and may be forwarded.
+ *
+ * @property uri path and query as the caller sent them
+ * @property tablesRevision version of the configuration that admitted the request
+ * @property deadline time at which the caller or the route gives up, whichever is first
+ */
+internal class ForwardedRequest(
+    val head: CallerHead,
+    val method: HttpMethod,
+    val uri: String,
+    val headers: MultiMap,
+    val body: Buffer,
+    val route: GatewayRoute,
+    val pool: GatewayPool,
+    val workspace: GatewayWorkspace?,
+    val tablesRevision: Revision,
+    val arrivedAt: Timestamp,
+    val deadline: Deadline,
+) {
+    /** Rank among waiting requests, 0 for the most urgent. */
+    val priority: Int get() = workspace?.priority ?: route.priority
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Knowledge.kt
@@ -0,0 +1,87 @@
+package org.vanilladale.gateway
+
+import java.util.concurrent.atomic.AtomicReference
+import org.vanilladale.core.gateway.GatewayTables
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.gateway.TargetDirectory
+import org.vanilladale.core.shard.Locked
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.Timestamp
+
+/** What this process knows from the store: the configuration in force and the list of targets. */
+internal class Knowledge(
+    private val directory: Locked<TargetDirectory>,
+    private val log: GatewayLog,
+    private val clock: () -> Timestamp,
+    private val onChange: (List<TargetId>) -> Unit,
+) {
+    private val inForce = AtomicReference<GatewayTables?>(null)
+
+    @Volatile
+    var targetsRevision: Revision? = null
+        private set
+
+    /** True once the list of targets was read. */
+    @Volatile
+    var hasTargets = false
+        private set
+
+    val tables: GatewayTables? get() = inForce.get()
+
+    /** Takes a snapshot; entries that are missing stay until [graceUntil], if that is ahead. */
+    fun take(snapshot: StoreRead.Snapshot, graceUntil: Deadline) {
+        snapshot.tables?.let(::putInForce)
+        val (gone, changed) = directory.use { known ->
+            known.replaceAll(snapshot.targets, !graceUntil.hasPassed(clock()), clock())
+        }
+        changed.forEach { logTarget(it.id, it, snapshot.position) }
+        gone.forEach { logTarget(it, null, snapshot.position) }
+        raise(snapshot.targetsRevision)
+        hasTargets = true
+        onChange(gone)
+    }
+
+    /** Takes changes; a removal counts from [graceUntil] on. */
+    fun take(changes: StoreRead.Changes, graceUntil: Deadline) {
+        changes.tables?.let(::putInForce)
+        val gone = ArrayList<TargetId>(0)
+        changes.targets.forEach { (id, target) ->
+            directory.use { known ->
+                when {
+                    target != null -> known.put(target)
+                    graceUntil.hasPassed(clock()) -> known.remove(id)
+                    else -> known.removeAt(id, graceUntil)
+                }
+            }
+            if (target == null) gone += id
+            logTarget(id, target, changes.position)
+        }
+        raise(changes.targetsRevision)
+        if (changes.targets.isNotEmpty()) onChange(gone)
+    }
+
+    private fun raise(revision: Revision?) {
+        val held = targetsRevision
+        if (revision != null && (held == null || revision > held)) targetsRevision = revision
+    }
+
+    /** A stale read must not bring an older version back. */
+    private fun putInForce(tables: GatewayTables) {
+        val held = inForce.get()
+        if (held != null && held.revision >= tables.revision) return
+        inForce.set(tables)
+        log.log(GatewayEvent.TablesInForce(tables.revision.value, held?.revision?.value))
+    }
+
+    private fun logTarget(id: TargetId, target: KnownTarget?, position: Revision) {
+        val change = when {
+            target == null -> "gone"
+            target.leaving -> "leaving"
+            else -> "listed"
+        }
+        val address = target?.address?.text
+        log.log(GatewayEvent.TargetChanged(id.text, change, address, position.value))
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/KnowledgeFollower.kt
@@ -0,0 +1,104 @@
+package org.vanilladale.gateway
+
+import kotlin.random.Random
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import org.vanilladale.core.gateway.TargetDirectory
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.Timestamp
+
+/**
+ * Keeps [knowledge] up to date: reads the store once, then watches it.
+ *
+ * A watch can go silent without an error. It ends after [WATCH_MILLISECONDS] at the latest, and at
+ * once when a peer turns out to know more.
+ */
+internal class KnowledgeFollower(
+    private val store: StorePort,
+    private val knowledge: Knowledge,
+    private val log: GatewayLog,
+    private val clock: () -> Timestamp,
+    private val random: Random,
+) {
+    private val hints = Channel<Unit>(Channel.CONFLATED)
+    private var position: Revision? = null
+    private var failures = 0
+    private var graceUntil: Deadline = clock().deadlineAfter(0)
+
+    /** Asks the store again at once, because a peer knows more. */
+    fun hint() {
+        hints.trySend(Unit)
+    }
+
+    /** Follows the store until [scope] ends. */
+    suspend fun run(scope: CoroutineScope) {
+        while (true) {
+            val from = position
+            if (from == null) take(store.read()) else take(watch(scope, from))
+        }
+    }
+
+    private suspend fun watch(scope: CoroutineScope, from: Revision): StoreRead {
+        while (hints.tryReceive().isSuccess) Unit
+        val answer = scope.async { store.watch(from, WATCH_MILLISECONDS) }
+        return select {
+            answer.onAwait { it }
+            hints.onReceive {
+                answer.cancel()
+                store.watch(from, 0)
+            }
+        }
+    }
+
+    private suspend fun take(read: StoreRead) {
+        if (read !is StoreRead.Failed) recovered()
+        when (read) {
+            is StoreRead.Snapshot -> {
+                knowledge.take(read, graceUntil)
+                position = read.position
+            }
+
+            is StoreRead.Changes -> {
+                knowledge.take(read, graceUntil)
+                position = maxOf(read.position, position ?: read.position)
+                // Changes come in bursts; one call for several of them spares the store.
+                if (read.tables != null || read.targets.isNotEmpty()) delay(BURST_MILLISECONDS)
+            }
+
+            StoreRead.HistoryLost -> {
+                log.log(GatewayEvent.Store("history-lost", position?.value))
+                position = null
+            }
+
+            is StoreRead.Failed -> failed(read)
+        }
+    }
+
+    private fun recovered() {
+        if (failures == 0) return
+        failures = 0
+        graceUntil = clock().deadlineAfter(TargetDirectory.DEFAULT_GRACE_MILLISECONDS)
+        log.log(GatewayEvent.Store("regained", position?.value))
+    }
+
+    private suspend fun failed(read: StoreRead.Failed) {
+        if (failures == 0) log.log(GatewayEvent.Store("lost", position?.value, read.reason))
+        val wait = (LEAST_WAIT_MILLISECONDS shl failures.coerceAtMost(MOST_DOUBLINGS))
+        failures++
+        delay(wait / 2 + random.nextLong(wait / 2 + 1))
+    }
+
+    private companion object {
+        /** Calls are priced; a silent watch is noticed by this time where no peer knows more. */
+        const val WATCH_MILLISECONDS = 8_000L
+
+        /** A tenth of the time in which a change has to be in force. */
+        const val BURST_MILLISECONDS = 150L
+        const val LEAST_WAIT_MILLISECONDS = 100L
+        const val MOST_DOUBLINGS = 3
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -0,0 +1,149 @@
+package org.vanilladale.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlin.random.Random
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.withTimeoutOrNull
+import org.vanilladale.core.gateway.FleetView
+import org.vanilladale.core.gateway.PlacementCandidate
+import org.vanilladale.core.gateway.TargetDirectory
+import org.vanilladale.core.gateway.TargetOutcomes
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.core.shard.Locked
+import org.vanilladale.core.shard.Sharded
+import org.vanilladale.schema.DataCentreName
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.PoolWaiting
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.TargetShare
+import org.vanilladale.schema.Timestamp
+
+/** Places requests at targets, with what this entry and its peers know of them. Thread-safe. */
+internal class PoolDispatcher(
+    private val own: DataCentreName,
+    private val directory: Locked<TargetDirectory>,
+    private val fleet: Locked<FleetView>,
+    private val clock: () -> Timestamp,
+    private val random: Random,
+    private val onLoadChanged: () -> Unit,
+) {
+    private val pools = Sharded<PoolName, HashMap<PoolName, PoolState>>(SHARDS) { HashMap() }
+
+    /** Waits for a place at a target that the request has not [tried]. */
+    suspend fun acquire(
+        request: ForwardedRequest,
+        tried: Set<TargetId>,
+    ): Either<Refusal, Place> {
+        val name = request.pool.name
+        val waiter = Waiter(request, tried)
+        val until = withPool(name) { admit(waiter, clock()) }
+            .fold({ return it.left() }, { it })
+        onLoadChanged()
+        val granted = try {
+            withTimeoutOrNull(until.millisecondsLeft(clock())) { waiter.place.await() }
+                ?: withdraw(name, waiter)
+        } catch (cancelled: CancellationException) {
+            withdraw(name, waiter)?.let { release(name, it.target.id, clock()) }
+            throw cancelled
+        }
+        return granted?.right() ?: Refusal(
+            RefusalReason.TARGET_OVERLOADED,
+            detail = "no place became free in time",
+            retryAt = clock().deadlineAfter(RETURN_MILLISECONDS),
+        ).left()
+    }
+
+    /** Gives back a place that was taken at [takenAt]. */
+    fun release(pool: PoolName, target: TargetId, takenAt: Timestamp) {
+        withPool(pool) {
+            val now = clock()
+            release(target, now.millisecondsSince(takenAt))
+            fill(now)
+        }
+        onLoadChanged()
+    }
+
+    /** Tells the outcome of an attempt or an observation at a target of [pool]. */
+    fun observe(pool: PoolName, block: TargetOutcomes.(Timestamp) -> Unit) {
+        withPool(pool) { outcomes.block(clock()) }
+    }
+
+    /** Drops what is known of targets that have [gone]. */
+    fun forget(gone: List<TargetId>) {
+        if (gone.isEmpty()) return
+        pools.mapShards { shard -> shard.values.forEach { gone.forEach(it.outcomes::forget) } }
+    }
+
+    /** Offers places that other entries or new targets may have made free. */
+    fun retryWaiting() {
+        pools.mapShards { shard -> shard.values.forEach { it.fillByChance(clock()) } }
+    }
+
+    /** Returns what this entry adds to the load of each target. */
+    fun shares(): List<TargetShare> = pools.mapShards { shard ->
+        val now = clock()
+        shard.values.flatMap { state ->
+            (state.inUse + state.outcomes.active(now)).map { target ->
+                TargetShare(
+                    target,
+                    state.running(target),
+                    state.outcomes.failures(target, now),
+                    state.outcomes.gapOrNull(target, now)?.toInt() ?: 0,
+                )
+            }
+        }
+    }.flatten()
+
+    /** Returns the waiting requests of each pool that has any. */
+    fun waiting(): List<PoolWaiting> = pools.mapShards { shard ->
+        shard.filterValues { it.waiting > 0 }.map { (name, state) -> PoolWaiting(name, state.waiting) }
+    }.flatten()
+
+    /** Takes [waiter] out of its queue; returns the place that it got in the meantime. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun withdraw(name: PoolName, waiter: Waiter): Place? = withPool(name) {
+        remove(waiter)
+        if (waiter.place.isCompleted) waiter.place.getCompleted() else null
+    }
+
+    private fun candidates(state: PoolState, pool: PoolName, now: Timestamp): List<PlacementCandidate> {
+        val targets = directory.use { it.usable(pool, now) }
+        return fleet.use { view ->
+            targets.map { target ->
+                val ownGap = state.outcomes.gapOrNull(target.id, now)
+                val peerGap = view.gapOrNull(target.id)
+                PlacementCandidate(
+                    target,
+                    state.running(target.id) + view.running(target.id),
+                    state.outcomes.failures(target.id, now) + view.failures(target.id),
+                    if (ownGap == null || peerGap == null) ownGap ?: peerGap else (ownGap + peerGap) / 2,
+                    state.outcomes.isAvoided(target.id, now),
+                    target.dataCentre == own,
+                )
+            }
+        }
+    }
+
+    private fun <R> withPool(pool: PoolName, block: PoolState.() -> R): R =
+        pools.withShard(pool) { shard ->
+            shard.getOrPut(pool) {
+                PoolState(
+                    random,
+                    { state, now -> candidates(state, pool, now) },
+                    { fleet.use { it.waiting(pool) } },
+                    { fleet.use { it.waitingEntries(pool) } },
+                )
+            }.block()
+        }
+
+    private companion object {
+        const val SHARDS = 4
+
+        /** Time in which places become free under a load that fills all of them. */
+        const val RETURN_MILLISECONDS = 300L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -0,0 +1,150 @@
+package org.vanilladale.gateway
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.right
+import kotlinx.coroutines.CompletableDeferred
+import kotlin.random.Random
+import org.vanilladale.core.admission.FairQueue
+import org.vanilladale.core.admission.QueuedRequest
+import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.HoldRule
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.gateway.PlacementCandidate
+import org.vanilladale.core.gateway.PoolBacklog
+import org.vanilladale.core.gateway.TargetOutcomes
+import org.vanilladale.core.gateway.TargetPlacement
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.WorkspaceId
+
+/** A place at [target], among [running] requests of all entries. */
+internal class Place(val target: KnownTarget, val running: Int)
+
+/** A request that waits for a place at a target that it has not [tried]. */
+internal class Waiter(val request: ForwardedRequest, val tried: Set<TargetId>) {
+    /** The place, or null when a request with a better claim took this one's turn. */
+    val place = CompletableDeferred<Place?>()
+}
+
+/**
+ * Requests of one pool that wait or run at this entry. Keep it under a lock.
+ *
+ * @param candidates builds the candidates of the pool; it reads other state under their locks
+ */
+internal class PoolState(
+    private val random: Random,
+    private val candidates: (PoolState, Timestamp) -> List<PlacementCandidate>,
+    private val peersWaiting: () -> Int,
+    private val peersWithWaiting: () -> Int,
+) {
+    private val placement = TargetPlacement(random)
+    private val running = HashMap<TargetId, Int>()
+    private val queue = FairQueue<Waiter>(MOST_WAITING)
+    private var serviceMilliseconds = 0.0
+
+    val outcomes = TargetOutcomes()
+
+    /** Requests that wait for a place. */
+    val waiting: Int get() = queue.size
+
+    /** Targets with requests of this entry. */
+    val inUse: Set<TargetId> get() = running.keys
+
+    fun running(target: TargetId): Int = running[target] ?: 0
+
+    /** Places [waiter] at once or queues it until the returned deadline, or refuses it. */
+    fun admit(waiter: Waiter, now: Timestamp): Either<Refusal, Deadline> {
+        val request = waiter.request
+        if (queue.size == 0) {
+            place(waiter, candidates(this, now))?.let {
+                waiter.place.complete(it)
+                return request.deadline.right()
+            }
+        }
+        return HoldRule.decide(backlog(request, now), request.deadline, now).flatMap { until ->
+            queue.offer(queued(waiter, until)).map { displaced ->
+                displaced?.key?.place?.complete(null)
+                until
+            }
+        }
+    }
+
+    private fun queued(waiter: Waiter, until: Deadline) = QueuedRequest(
+        waiter,
+        waiter.request.workspace?.id ?: NO_WORKSPACE,
+        (MOST_URGENT - waiter.request.priority).coerceIn(0, MOST_URGENT),
+        until,
+    )
+
+    /** Gives free places to waiting requests. */
+    fun fill(now: Timestamp) {
+        while (queue.size > 0) {
+            // An overdue waiter refuses itself when its own timer fires.
+            val next = queue.poll(now).next ?: return
+            val place = place(next.key, candidates(this, now))
+            if (place == null) {
+                queue.offer(next)
+                return
+            }
+            next.key.place.complete(place)
+        }
+    }
+
+    /** Gives places that peers may have freed; waiting entries share them by chance. */
+    fun fillByChance(now: Timestamp) {
+        if (queue.size > 0 && random.nextInt(1 + peersWithWaiting()) == 0) fill(now)
+    }
+
+    /** Takes [waiter] out of the queue. */
+    fun remove(waiter: Waiter) {
+        queue.remove(waiter)
+    }
+
+    /** Frees a place at [target] that was held for [heldMilliseconds]. */
+    fun release(target: TargetId, heldMilliseconds: Long) {
+        running.computeIfPresent(target) { _, count -> (count - 1).takeIf { it > 0 } }
+        serviceMilliseconds = if (serviceMilliseconds == 0.0) {
+            heldMilliseconds.toDouble()
+        } else {
+            serviceMilliseconds + SERVICE_WEIGHT * (heldMilliseconds - serviceMilliseconds)
+        }
+    }
+
+    private fun place(waiter: Waiter, all: List<PlacementCandidate>): Place? {
+        val request = waiter.request
+        val untried = all.filter { it.target.id !in waiter.tried }
+        val chosen = placement.chooseOrNull(
+            untried,
+            request.pool.engine,
+            request.route.gapGoalMilliseconds,
+        ) ?: return null
+        running.merge(chosen.target.id, 1, Int::plus)
+        return Place(chosen.target, chosen.running + 1)
+    }
+
+    private fun backlog(request: ForwardedRequest, now: Timestamp): PoolBacklog {
+        val all = candidates(this, now)
+        val places = placement.places(all, request.pool.engine, request.route.gapGoalMilliseconds)
+        return PoolBacklog(queue.size + peersWaiting(), places, service(request.pool))
+    }
+
+    private fun service(pool: GatewayPool): Double = when {
+        serviceMilliseconds > 0 -> serviceMilliseconds
+        pool.engine != null -> pool.engine!!.let { it.usualMilliseconds(it.slots) }
+        else -> USUAL_SERVICE_MILLISECONDS
+    }
+
+    private companion object {
+        /** Far above what the hold rule admits; bounds memory. */
+        const val MOST_WAITING = 1_024
+        const val MOST_URGENT = 9
+        const val SERVICE_WEIGHT = 0.1
+
+        /** Service time of a plain service before the first answer. */
+        const val USUAL_SERVICE_MILLISECONDS = 30.0
+        val NO_WORKSPACE = WorkspaceId.parse("-")
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/SilenceLimits.kt
@@ -0,0 +1,33 @@
+package org.vanilladale.gateway
+
+import org.vanilladale.schema.Timestamp
+
+/** How long a target may stay silent before its attempt counts as failed. */
+internal class SilenceLimits(private val clock: () -> Timestamp) {
+    /** Returns the longest wait in milliseconds for the head or the first event of an answer. */
+    fun firstAnswer(request: ForwardedRequest, mayRepeat: Boolean): Long = when {
+        !mayRepeat -> left(request)
+
+        request.route.repeat.isStream -> minOf(STREAM_MILLISECONDS, left(request))
+
+        // A second target can still answer within the goal when the first one is quick as a rule.
+        else -> minOf(
+            (request.route.goalMilliseconds * GOAL_SHARE).toLong(),
+            left(request),
+        )
+    }
+
+    /** Returns the longest wait in milliseconds for the next part of an answer. */
+    fun nextPart(request: ForwardedRequest, mayRepeat: Boolean): Long =
+        if (mayRepeat) minOf(STREAM_MILLISECONDS, left(request)) else left(request)
+
+    private fun left(request: ForwardedRequest): Long =
+        request.deadline.millisecondsLeft(clock()).coerceAtLeast(1)
+
+    private companion object {
+        /** Callers leave a stream after two seconds without an event; a second target needs half. */
+        const val STREAM_MILLISECONDS = 1_000L
+
+        const val GOAL_SHARE = 0.6
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/TargetExchange.kt
@@ -0,0 +1,103 @@
+package org.vanilladale.gateway
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.core.net.SocketAddress
+import io.vertx.kotlin.coroutines.coAwait
+import java.io.IOException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import org.vanilladale.runtime.runCatchingIo
+import org.vanilladale.schema.SocketAddressText
+
+/** The connection to a target ended, or brought something that is no answer. */
+internal class BrokenExchangeException(message: String, cause: Throwable? = null) :
+    IOException(message, cause)
+
+/**
+ * One request on a connection of its own to a target.
+ *
+ * A connection that serves one request can't carry answers of an earlier one, and a refused connect
+ * proves that nothing was sent.
+ */
+internal class TargetExchange private constructor(private val request: HttpClientRequest) {
+    private val head = CompletableDeferred<HttpClientResponse>()
+    private val chunks = Channel<Buffer>(Channel.UNLIMITED)
+    private var ended = false
+
+    /** Sends the request and its whole [body]. */
+    fun send(headers: MultiMap, body: Buffer) {
+        request.headers().setAll(headers)
+        request.exceptionHandler(::fail)
+        request.response().onComplete({ receive(it) }, ::fail)
+        if (body.length() > 0) request.end(body) else request.end()
+    }
+
+    /**
+     * Returns the head of the answer.
+     *
+     * @throws BrokenExchangeException when the connection ends first
+     */
+    suspend fun head(): HttpClientResponse = head.await()
+
+    /**
+     * Returns the next piece of the body, or null at its end.
+     *
+     * @throws BrokenExchangeException when the connection ends first
+     */
+    suspend fun nextOrNull(): Buffer? {
+        head.await().fetch(1)
+        val received = chunks.receiveCatching()
+        received.exceptionOrNull()?.let { throw it }
+        return received.getOrNull()
+    }
+
+    /** Closes the connection unless the answer is complete, so that the target stops its work. */
+    fun close() {
+        if (!ended) request.reset()
+    }
+
+    private fun receive(response: HttpClientResponse) {
+        response.pause()
+        response.exceptionHandler(::fail)
+        response.handler { chunks.trySend(it) }
+        response.endHandler {
+            ended = true
+            chunks.close()
+        }
+        head.complete(response)
+    }
+
+    private fun fail(cause: Throwable) {
+        val broken = BrokenExchangeException(cause.message ?: cause.javaClass.simpleName, cause)
+        head.completeExceptionally(broken)
+        chunks.close(broken)
+    }
+
+    companion object {
+        /** A target answers a connect within a few ms; more means that it is down or cut off. */
+        private const val CONNECT_MILLISECONDS = 400L
+
+        /** Connects to [address]; returns null when there is no connection. */
+        suspend fun connectOrNull(
+            client: HttpClient,
+            address: SocketAddressText,
+            method: HttpMethod,
+            uri: String,
+        ): TargetExchange? {
+            val options = RequestOptions()
+                .setServer(SocketAddress.inetSocketAddress(address.port, address.host))
+                .setHost(address.host)
+                .setPort(address.port)
+                .setMethod(method)
+                .setURI(uri)
+                .setConnectTimeout(CONNECT_MILLISECONDS)
+            return runCatchingIo { client.request(options).coAwait() }?.let(::TargetExchange)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
@@ -0,0 +1,30 @@
+package org.vanilladale.gateway
+
+/**
+ * What the head of a target's answer says, whatever the protocol.
+ *
+ * @property echoesRequest whether the answer names the request that was sent
+ * @property isSigned whether the answer comes from the service itself
+ * @property isNotRun whether the target states that it did not run the request
+ * @property isOtherTarget whether another target has the address
+ * @property isEncoded whether the body has an encoding that nobody asked for
+ */
+public data class TargetHead(
+    val status: Int,
+    val echoesRequest: Boolean,
+    val isSigned: Boolean,
+    val isNotRun: Boolean,
+    val isOtherTarget: Boolean,
+    val isEncoded: Boolean,
+) {
+    /** True for a status of success. */
+    public val isSuccess: Boolean get() = status in SUCCESS
+
+    /** True for a status by which a target says that it failed itself. */
+    public val isFailure: Boolean get() = status >= LEAST_FAILURE
+
+    private companion object {
+        val SUCCESS = 200..299
+        const val LEAST_FAILURE = 500
+    }
+}
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
@@ -15,6 +15,7 @@
  * @param announce sends the frame to every peer
  * @param isAsked true while callers still ask for what this process can tell without new work:
  *   outcomes, or where else to go
+ * @param noticeMilliseconds time for which new work is still taken after the announcement
  */
 public class PlannedStop(
     private val vm: VmId,
@@ -23,6 +24,7 @@
     private val inFlight: () -> Int,
     private val announce: (Leaving) -> Unit,
     private val isAsked: () -> Boolean = { false },
+    private val noticeMilliseconds: Long = DEFAULT_NOTICE_MILLISECONDS,
 ) {
     private val state = AtomicReference<LeavingState>(LeavingState.Serving)
 
@@ -38,7 +40,7 @@
         val announced = LeavingState.Serving.announce(
             vm,
             clock(),
-            NOTICE_MILLISECONDS,
+            noticeMilliseconds,
             drainMilliseconds,
         )
         if (!state.compareAndSet(LeavingState.Serving, announced)) return
@@ -55,12 +57,13 @@
         return isAsked() && !minOf(limit, announced.drainDeadline).hasPassed(clock())
     }
 
-    private companion object {
+    public companion object {
         /** Peers learn of the stop within this time; callers' requests on the way still run. */
-        const val NOTICE_MILLISECONDS = 2_000L
-        const val POLL_MILLISECONDS = 20L
+        public const val DEFAULT_NOTICE_MILLISECONDS: Long = 2_000
+
+        private const val POLL_MILLISECONDS = 20L
 
         /** Callers that go on asking a leaving process hold it up for this time at most. */
-        const val ASKED_MILLISECONDS = 10_000L
+        private const val ASKED_MILLISECONDS = 10_000L
     }
 }
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/SystemCounters.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/SystemCounters.kt
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.MetricWithFixedMetadata
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.ByteArrayOutputStream
@@ -78,6 +79,11 @@
         gauges.labelValues(name).set(value)
     }
 
+    /** Builds [builder] into the registry of this process. */
+    public fun <B : MetricWithFixedMetadata.Builder<B, M>, M : MetricWithFixedMetadata> register(
+        builder: MetricWithFixedMetadata.Builder<B, M>,
+    ): M = builder.register(registry)
+
     /** Returns all series in the Prometheus text format. */
     public fun scrape(): String {
         val bytes = ByteArrayOutputStream()
