--- a/core/src/main/kotlin/org/vanilladale/core/gateway/EngineProfile.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/EngineProfile.kt
@@ -10,6 +10,7 @@
  * @property readTokensPerSecond speed of reading prompts
  * @property usualPromptTokens mean prompt
  * @property usualAnswerTokens mean answer
+ * @property experts experts of the model; null when its engines form no groups
  */
 public data class EngineProfile(
     val slots: Int,
@@ -19,6 +20,7 @@
     val readTokensPerSecond: Double,
     val usualPromptTokens: Double,
     val usualAnswerTokens: Double,
+    val experts: ExpertProfile? = null,
 ) {
     /** Returns the duration of a pass in milliseconds with [writing] requests on the fullest rank. */
     public fun passMilliseconds(writing: Int): Double =
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/ExpertProfile.kt
@@ -0,0 +1,16 @@
+package org.vanilladale.core.gateway
+
+/**
+ * Experts of a model whose engines form groups.
+ *
+ * @property sets sets of layers that share one map
+ * @property experts experts of each set
+ * @property places experts of a set that one rank can hold
+ * @property copiesAtOnce experts of a set that one rank can load for one change
+ */
+public data class ExpertProfile(
+    val sets: Int,
+    val experts: Int,
+    val places: Int,
+    val copiesAtOnce: Int,
+)
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/GatewayTables.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/GatewayTables.kt
@@ -21,6 +21,9 @@
         }
     private val byName: Map<PoolName, GatewayPool> = pools.associateBy { it.name }
 
+    /** All pools of this version. */
+    public val pools: Collection<GatewayPool> get() = byName.values
+
     /** True when each request on a route that is not public has to carry a key. */
     public val needsKeys: Boolean get() = byKey != null
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/KnownTarget.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/KnownTarget.kt
@@ -1,7 +1,7 @@
 package org.vanilladale.core.gateway
 
+import org.vanilladale.core.groupswitch.GroupSeat
 import org.vanilladale.schema.DataCentreName
-import org.vanilladale.schema.GroupId
 import org.vanilladale.schema.PoolName
 import org.vanilladale.schema.SocketAddressText
 import org.vanilladale.schema.TargetId
@@ -10,7 +10,7 @@
  * What the platform's list says of a target.
  *
  * @property leaving whether the target has announced that it ends soon
- * @property group rank group of the target; null when it has none or the list does not say
+ * @property seat place in a rank group; null when the target has none
  */
 public data class KnownTarget(
     val id: TargetId,
@@ -19,5 +19,8 @@
     val dataCentre: DataCentreName?,
     val slots: Int,
     val leaving: Boolean,
-    val group: GroupId?,
-)
+    val seat: GroupSeat?,
+) {
+    /** True when the target takes no requests because its group is not formed. */
+    val isInClosedGroup: Boolean get() = seat?.isOpen == false
+}
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetDirectory.kt
@@ -1,6 +1,7 @@
 package org.vanilladale.core.gateway
 
 import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.GroupId
 import org.vanilladale.schema.PoolName
 import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.Timestamp
@@ -63,6 +64,19 @@
         return listed.values.filter { it.pool == pool && !it.leaving }
     }
 
+    /** Returns the open groups of [pool] whose ranks are all listed, in the order of the ranks. */
+    public fun openGroups(pool: PoolName): Map<GroupId, List<KnownTarget>> = listed.values
+        .filter { it.pool == pool && it.seat?.isOpen == true }
+        .groupBy { it.seat?.group }
+        .mapNotNull { (group, members) ->
+            val ranks = members.sortedBy { it.seat?.rank }
+            val isWhole = ranks.map { it.seat?.rank?.value } == (0 until ranks.size).toList() &&
+                ranks.all { it.seat?.size == ranks.size } &&
+                ranks.distinctBy { it.seat?.epoch }.size == 1
+            if (group != null && isWhole) group to ranks else null
+        }
+        .toMap()
+
     /** Returns the entry of [id], or null when it isn't listed. */
     public fun targetOrNull(id: TargetId): KnownTarget? = listed[id]
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -39,8 +39,9 @@
         engine: EngineProfile?,
         gapGoalMilliseconds: Long,
     ): PlacementCandidate? {
-        val sound = candidates.filter { !it.avoided && it.failures < SUSPECT_FAILURES }
-        val preferred = sound.ifEmpty { candidates.filter { !it.avoided } }.ifEmpty { candidates }
+        val reachable = candidates.filter { !it.avoided && !it.target.isInClosedGroup }
+        val sound = reachable.filter { it.failures < SUSPECT_FAILURES }
+        val preferred = sound.ifEmpty { reachable }.ifEmpty { candidates }
         return if (engine == null) {
             leastLoadedOrNull(preferred)
         } else {
@@ -113,7 +114,7 @@
     }
 
     private fun groupKey(candidate: PlacementCandidate): Any =
-        candidate.target.group ?: candidate.target.id
+        candidate.target.seat?.group ?: candidate.target.id
 
     public companion object {
         /** Failures of the whole fleet in a few seconds from which a target is used last. */
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/RankOrder.kt
@@ -0,0 +1,37 @@
+package org.vanilladale.core.groupswitch
+
+import org.vanilladale.core.placement.ExpertMap
+import org.vanilladale.schema.Step
+
+/** Order to one rank of a group. */
+public sealed interface RankOrder {
+    /** Loads the experts of [maps], one map for each set of layers. */
+    public data class Prepare(val version: Long, val maps: List<ExpertMap>) : RankOrder
+
+    /** Switches the rank to a prepared version as [step] begins. */
+    public data class Arm(val version: Long, val step: Step) : RankOrder
+
+    /** Takes [Arm] back. */
+    public data class Disarm(val version: Long) : RankOrder
+
+    /** Keeps the group from beginning [step] until [Go]. */
+    public data class Hold(val step: Step) : RankOrder
+
+    /** Ends a [Hold]. */
+    public data class Go(val step: Step) : RankOrder
+}
+
+/** What a rank answered to an order. */
+public enum class OrderAnswer {
+    /** The order has begun, is done, or its state already holds. */
+    ACCEPTED,
+
+    /** The order does not fit the state of the rank, or the group was formed anew. */
+    CONFLICT,
+
+    /** No answer: the order may have been carried out, or will be. */
+    UNANSWERED,
+
+    /** The rank does not know the order. */
+    REJECTED,
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/RankReport.kt
@@ -0,0 +1,27 @@
+package org.vanilladale.core.groupswitch
+
+import org.vanilladale.schema.Step
+
+/**
+ * State that one rank of a group reports; up to some hundred ms old.
+ *
+ * @property epoch number of the group's formation; a new one starts with the first map
+ * @property isOpen whether the group runs passes
+ * @property step last pass that was begun
+ * @property mapVersion version of the map in use
+ * @property prepared version whose experts are loaded, or null
+ * @property armed version that comes into use at a later pass, or null
+ * @property heldAt pass that the group may not begin yet, or null
+ */
+public data class RankReport(
+    val epoch: Long,
+    val isOpen: Boolean,
+    val step: Step,
+    val mapVersion: Long,
+    val prepared: Long?,
+    val armed: Long?,
+    val heldAt: Step?,
+) {
+    /** True when no switch is in progress at the rank. */
+    val isClean: Boolean get() = armed == null && heldAt == null
+}
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -45,6 +45,9 @@
     /** Creates the reader of the platform's store. */
     public lateinit var store: (Vertx) -> StorePort
 
+    /** Creates the client for ranks of groups. */
+    public lateinit var ranks: (Vertx) -> RankPort
+
     /** Writes one line of the log; it may block. */
     public var write: (String) -> Unit = ::println
 }
@@ -83,6 +86,16 @@
     private val budget = FleetRetryBudget(settings, fleet, clock)
     private val admission = RequestAdmission({ knowledge.tables }, random)
 
+    private val mover = ExpertMover(
+        parts.ranks(vertx),
+        { knowledge.tables?.pools?.toList().orEmpty() },
+        { pool -> directory.use { it.openGroups(pool.name) } },
+        ::leadsExperts,
+        log,
+        clock,
+        random,
+    )
+
     @Volatile
     private var seeds: List<SocketAddressText> = peerAddresses(settings.seeds)
 
@@ -128,6 +141,7 @@
         serveCallers(checkNotNull(knowledge.tables) { "The configuration was read above" })
         serves = true
         beats.send()
+        scope.launch { mover.run(scope) }
         val startedAt = ManagementFactory.getRuntimeMXBean().uptime
         log.log(GatewayEvent.Started(settings.dataCentre.text, startedAt))
     }
@@ -221,6 +235,12 @@
         peers,
     )
 
+    /** The serving entry with the first name leads; which one it is does not matter. */
+    private fun leadsExperts(): Boolean {
+        val serving = fleet.use { view -> view.live.filter { it.isServing }.map { it.beat.vm.text } }
+        return isReady && serving.all { it > settings.vm.text }
+    }
+
     private fun heardPeer() {
         dispatcher.retryWaiting()
         val newest = fleet.use { it.highestTablesRevision } ?: return
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -122,4 +122,31 @@
     @Serializable
     @SerialName("caller-left")
     public data class CallerLeft(val request: String, val afterMilliseconds: Long) : GatewayEvent
+
+    /** This process starts or ends to move the experts of a pool. */
+    @Serializable
+    @SerialName("expert-lead")
+    public data class ExpertLead(val pool: String, val leads: Boolean) : GatewayEvent
+
+    /** A switch of a group's maps ended. */
+    @Serializable
+    @SerialName("map-switch")
+    public data class MapSwitched(
+        val group: String,
+        val version: Long,
+        val result: String,
+        val copies: Int,
+        val skewBefore: Double,
+        val skewAfter: Double,
+        val tookMilliseconds: Long,
+    ) : GatewayEvent
+
+    /** A group that was held or armed half way was released, or not. */
+    @Serializable
+    @SerialName("group-recovered")
+    public data class GroupRecovered(
+        val group: String,
+        val recovered: Boolean,
+        val cause: String,
+    ) : GatewayEvent
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
@@ -0,0 +1,81 @@
+package org.vanilladale.gateway
+
+import kotlin.random.Random
+import kotlinx.coroutines.Job
+import org.vanilladale.core.gateway.ExpertProfile
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.placement.ExpertMap
+import org.vanilladale.schema.GroupId
+import org.vanilladale.schema.Rank
+
+/** What the leading entry knows of one formation of a group. */
+internal class GroupState(
+    val group: GroupId,
+    val epoch: Long,
+    val ranks: List<KnownTarget>,
+    private val profile: ExpertProfile,
+) {
+    private var sampledRank: KnownTarget? = null
+    private var counted: ChosenExperts? = null
+    private var samplesWithoutPass = 0
+
+    /** Switch or check in progress. */
+    var job: Job? = null
+
+    /** Maps in use by set; null while they are not known. */
+    var maps: List<ExpertMap>? = null
+        private set
+
+    /** False until the reports have shown that no other process left the group half switched. */
+    var isChecked = false
+
+    /** True when the reports of the ranks have to be read first. */
+    val needsCheck: Boolean get() = !isChecked || samplesWithoutPass >= STUCK_SAMPLES
+
+    /** Returns the rank whose counts are read; another one after a read without an answer. */
+    fun sampled(random: Random): KnownTarget =
+        sampledRank ?: ranks.random(random).also { sampledRank = it }
+
+    /** Takes the counts of the sampled rank; returns what was chosen since the last ones. */
+    fun observe(chosen: ChosenExperts?): List<Long>? {
+        val before = counted
+        counted = chosen
+        if (chosen == null || chosen.epoch != epoch) {
+            sampledRank = null
+            return null
+        }
+        if (before == null || before.counts.size != chosen.counts.size) return null
+        samplesWithoutPass = if (chosen.step == before.step) samplesWithoutPass + 1 else 0
+        val delta = chosen.counts.indices.map { chosen.counts[it] - before.counts[it] }
+        // Counts that went down are those of a rank that has started anew.
+        return delta.takeIf { counts -> counts.all { it >= 0 } }
+    }
+
+    /** Notes that the reports showed neither a hold nor an armed map. */
+    fun checked() {
+        isChecked = true
+        samplesWithoutPass = 0
+    }
+
+    /** Notes the maps that the group uses. */
+    fun use(maps: List<ExpertMap>) {
+        this.maps = maps
+    }
+
+    /** Returns the maps by set that follow from what each rank holds, or null for nonsense. */
+    fun mapsOf(held: List<HeldExperts>): List<ExpertMap>? =
+        List(profile.sets) { set -> mapOf(set, held) }.filterNotNull()
+            .takeIf { it.size == profile.sets }
+
+    private fun mapOf(set: Int, held: List<HeldExperts>): ExpertMap? {
+        val byExpert = List(profile.experts) { expert ->
+            held.indices.filter { expert in held[it].bySet.getOrElse(set) { emptyList() } }.map(::Rank)
+        }
+        return ExpertMap.fromRanks(ranks.size, profile.places, byExpert).getOrNull()
+    }
+
+    private companion object {
+        /** Samples without a pass after which a group may be held; an idle one shows the same. */
+        const val STUCK_SAMPLES = 3
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/MapSwitch.kt
@@ -0,0 +1,212 @@
+package org.vanilladale.gateway
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.groupswitch.OrderAnswer
+import org.vanilladale.core.groupswitch.RankOrder
+import org.vanilladale.core.groupswitch.RankReport
+import org.vanilladale.core.placement.ExpertMap
+import org.vanilladale.schema.Step
+import org.vanilladale.schema.Timestamp
+
+/** How a switch ended. */
+public enum class SwitchResult {
+    /** All ranks use the new map from the switch step on. */
+    SWITCHED,
+
+    /** Nothing was armed; the old map stays in use. */
+    ABANDONED,
+
+    /** The group was left held or armed, by another process or by this one. */
+    UNSETTLED,
+}
+
+/**
+ * Switches a group to a new map so that no pass begins with two maps, whatever is lost or late.
+ *
+ * One rank holds the group before the switch step while the ranks are armed one and all; the hold
+ * ends only when each rank is known to be armed. Orders stay without an answer and are carried out
+ * seconds later, processes pause, and two of them may be at it at once. Three facts keep that safe:
+ *
+ * - A version belongs to one map, one process and one switch step, and a rank takes only versions
+ *   above all that it has had. A rank is armed only with the version that it prepared last.
+ * - A hold ends after a failed switch only when each rank was disarmed and has prepared a version
+ *   above the failed one. Late copies of the orders to arm it are refused from then on.
+ * - That clean-up begins at a rank which is not armed. Once such a rank has prepared the higher
+ *   version, the process that wanted the failed one can't find all ranks armed and never ends the
+ *   hold by itself.
+ *
+ * @param ranks members of the group in the order of their ranks
+ * @param holder member of [ranks] that holds the group; processes use different ones
+ * @param newVersion returns a version that no other process uses, above the given one
+ * @param mapsInUse returns the maps that the group uses, or null when they can't be read
+ */
+public class MapSwitch(
+    private val port: RankPort,
+    private val ranks: List<KnownTarget>,
+    private val epoch: Long,
+    private val holder: KnownTarget,
+    private val clock: () -> Timestamp,
+    private val newVersion: (above: Long) -> Long,
+    private val mapsInUse: suspend () -> List<ExpertMap>?,
+) {
+    /** Version of the last switch; 0 before the first one. */
+    public var version: Long = 0
+        private set
+
+    /** Switches to [maps]. */
+    public suspend fun run(maps: List<ExpertMap>): SwitchResult {
+        val before = reports() ?: return SwitchResult.ABANDONED
+        if (!before.values.all { it.isClean }) return SwitchResult.UNSETTLED
+        val wanted = newVersion(highestVersion(before.values)).also { version = it }
+        val isTaken = inParallel(ranks) { takesPrepare(it, RankOrder.Prepare(wanted, maps)) }
+        val prepared = (if (isTaken) awaitAll(COPY_MILLISECONDS) { it.prepared == wanted } else null)
+            ?: return SwitchResult.ABANDONED
+        val latest = prepared.values.maxOf { it.step.value }
+        var step = Step(latest)
+        var held = OrderAnswer.CONFLICT
+        for (ahead in passesAhead) {
+            step = Step(latest + ahead)
+            held = give(holder, RankOrder.Hold(step))
+            if (held != OrderAnswer.CONFLICT) break
+        }
+        if (held == OrderAnswer.UNANSWERED) return SwitchResult.UNSETTLED
+        if (held != OrderAnswer.ACCEPTED) return SwitchResult.ABANDONED
+        val isArmed = inParallel(ranks) { arm(it, RankOrder.Arm(wanted, step)) }
+        val isReleased = isArmed && release(holder, step)
+        // Reports of before the switch step would look like those of a group at rest.
+        val isInUse = isReleased && awaitAll(PASS_MILLISECONDS) { it.mapVersion == wanted } != null
+        return if (isInUse) SwitchResult.SWITCHED else SwitchResult.UNSETTLED
+    }
+
+    /** Ends a switch that was left half done; true when no rank is held or armed any more. */
+    public suspend fun recover(): Boolean {
+        val found = reports() ?: return false
+        if (found.values.all { it.isClean }) return true
+        val isWhole = found.values.map { it.armed }.distinct().let { it.size == 1 && it[0] != null }
+        val isSafe = isWhole || cleanUp(found)
+        return isSafe && inParallel(ranks) { rank ->
+            found.getValue(rank).heldAt?.let { release(rank, it) } ?: true
+        }
+    }
+
+    /** Returns the reports of all ranks, or null when one is missing or of another formation. */
+    public suspend fun reports(): Map<KnownTarget, RankReport>? {
+        val found = coroutineScope {
+            ranks.map { rank -> async { rank to port.report(rank) } }.awaitAll()
+        }
+        val whole = found.mapNotNull { (rank, report) -> report?.let { rank to it } }.toMap()
+        val usable = whole.size == ranks.size && whole.values.all { it.epoch == epoch && it.isOpen }
+        return whole.takeIf { usable }
+    }
+
+    /** Disarms all ranks and voids orders to arm them that may still come. */
+    private suspend fun cleanUp(found: Map<KnownTarget, RankReport>): Boolean {
+        val maps = mapsInUse() ?: return false
+        val void = RankOrder.Prepare(newVersion(highestVersion(found.values)), maps)
+        val unarmed = ranks.filter { found.getValue(it).armed == null }
+        val first = unarmed.firstOrNull { give(it, void) == OrderAnswer.ACCEPTED } ?: return false
+        return inParallel(ranks - first) { rank ->
+            val armed = found.getValue(rank).armed
+            val isDisarmed = armed == null || disarm(rank, armed)
+            isDisarmed && prepare(rank, void)
+        }
+    }
+
+    /** Waits until the reports of all ranks fulfil [condition]; null when they don't in time. */
+    private suspend fun awaitAll(
+        milliseconds: Long,
+        condition: (RankReport) -> Boolean,
+    ): Map<KnownTarget, RankReport>? {
+        val deadline = clock().deadlineAfter(milliseconds)
+        val fulfilled = HashMap<KnownTarget, RankReport>()
+        while (!deadline.hasPassed(clock())) {
+            delay(POLL_MILLISECONDS)
+            val asked = ranks.filter { it !in fulfilled }
+            val found = coroutineScope {
+                asked.map { rank -> async { rank to port.report(rank) } }.awaitAll()
+            }
+            for ((rank, report) in found) {
+                if (report == null) continue
+                if (report.epoch != epoch || !report.isOpen) return null
+                if (condition(report)) fulfilled[rank] = report
+            }
+            if (fulfilled.size == ranks.size) return fulfilled
+        }
+        return null
+    }
+
+    /** A conflict after a copy without an answer may only show that the copy was carried out. */
+    private suspend fun takesPrepare(rank: KnownTarget, order: RankOrder.Prepare): Boolean {
+        val answer = port.order(rank, order, epoch)
+        if (answer != OrderAnswer.UNANSWERED) return answer == OrderAnswer.ACCEPTED
+        return give(rank, order) != OrderAnswer.REJECTED
+    }
+
+    private suspend fun arm(rank: KnownTarget, order: RankOrder.Arm): Boolean =
+        given(rank, order) { it.armed == order.version }
+
+    private suspend fun disarm(rank: KnownTarget, armed: Long): Boolean =
+        given(rank, RankOrder.Disarm(armed)) { it.armed == null }
+
+    private suspend fun prepare(rank: KnownTarget, order: RankOrder.Prepare): Boolean =
+        given(rank, order) { it.prepared == order.version }
+
+    private suspend fun release(rank: KnownTarget, step: Step): Boolean =
+        given(rank, RankOrder.Go(step)) { it.heldAt != step }
+
+    /** Gives [order]; after a conflict the reports tell whether an earlier copy was carried out. */
+    private suspend fun given(
+        rank: KnownTarget,
+        order: RankOrder,
+        isDone: (RankReport) -> Boolean,
+    ): Boolean = when (give(rank, order)) {
+        OrderAnswer.ACCEPTED -> true
+
+        OrderAnswer.CONFLICT -> {
+            delay(REPORT_LAG_MILLISECONDS)
+            port.report(rank)?.let { it.epoch == epoch && isDone(it) } ?: false
+        }
+
+        OrderAnswer.UNANSWERED, OrderAnswer.REJECTED -> false
+    }
+
+    /** Repeats [order] until there is an answer, or for [ORDER_MILLISECONDS]. */
+    private suspend fun give(rank: KnownTarget, order: RankOrder): OrderAnswer {
+        val deadline = clock().deadlineAfter(ORDER_MILLISECONDS)
+        while (!deadline.hasPassed(clock())) {
+            val answer = port.order(rank, order, epoch)
+            if (answer != OrderAnswer.UNANSWERED) return answer
+        }
+        return OrderAnswer.UNANSWERED
+    }
+
+    private fun highestVersion(reports: Collection<RankReport>): Long =
+        reports.maxOf { maxOf(it.mapVersion, it.prepared ?: 0, it.armed ?: 0) }
+
+    private suspend fun inParallel(
+        some: List<KnownTarget>,
+        block: suspend (KnownTarget) -> Boolean,
+    ): Boolean = coroutineScope { some.map { async { block(it) } }.awaitAll().all { it } }
+
+    private companion object {
+        /** Passes from the last report to the switch; reports are a few passes old. */
+        val passesAhead = listOf(4L, 8L, 14L)
+
+        /** Longest time for copies; loading those of one change takes about a second. */
+        const val COPY_MILLISECONDS = 5_000L
+
+        /** Longest time until the switch step has passed; a busy group makes ten passes a second. */
+        const val PASS_MILLISECONDS = 1_500L
+        const val POLL_MILLISECONDS = 150L
+
+        /** Longest time for one order; one in three may stay without an answer. */
+        const val ORDER_MILLISECONDS = 2_000L
+
+        /** Reports are up to some hundred ms old. */
+        const val REPORT_LAG_MILLISECONDS = 500L
+    }
+}
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PeerBeats.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PeerBeats.kt
@@ -121,8 +121,8 @@
     }
 
     private companion object {
-        /** Age of the news that peers place requests by; a pass of an engine lasts longer. */
-        const val LEAST_MILLISECONDS = 25L
+        /** Age of the news that peers place requests by; about a pass of an engine. */
+        const val LEAST_MILLISECONDS = 60L
 
         /** Keeps sending and receiving beats to a few percent of a core. */
         const val PER_PEER_MICROSECONDS = 1_500L
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/RankPort.kt
@@ -0,0 +1,28 @@
+package org.vanilladale.gateway
+
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.groupswitch.OrderAnswer
+import org.vanilladale.core.groupswitch.RankOrder
+import org.vanilladale.core.groupswitch.RankReport
+import org.vanilladale.schema.Step
+
+/** How often the requests of one rank chose each expert since it started, by set of layers. */
+public data class ChosenExperts(val epoch: Long, val step: Step, val counts: List<Long>)
+
+/** Experts that one rank holds by set of layers, and the version of the map that says so. */
+public data class HeldExperts(val epoch: Long, val version: Long, val bySet: List<List<Int>>)
+
+/** Questions and orders to the ranks of groups. No function throws for a failure of a rank. */
+public interface RankPort {
+    /** Returns the state of [rank], or null without an answer. */
+    public suspend fun report(rank: KnownTarget): RankReport?
+
+    /** Returns what [rank] chose, or null without an answer. */
+    public suspend fun chosen(rank: KnownTarget): ChosenExperts?
+
+    /** Returns what [rank] holds, or null without an answer. */
+    public suspend fun held(rank: KnownTarget): HeldExperts?
+
+    /** Gives [order] to [rank]; it fails once the group has left formation [epoch]. */
+    public suspend fun order(rank: KnownTarget, order: RankOrder, epoch: Long): OrderAnswer
+}
