--- a/core/src/main/kotlin/org/vanilladale/core/gateway/ExpertProfile.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/ExpertProfile.kt
@@ -6,6 +6,7 @@
  * @property sets sets of layers that share one map
  * @property experts experts of each set
  * @property places experts of a set that one rank can hold
+ * @property copyMilliseconds time in which a rank loads one expert of a set
  * @property copiesAtOnce experts of a set that one rank can load for one change
  */
 public data class ExpertProfile(
@@ -13,4 +14,5 @@
     val experts: Int,
     val places: Int,
     val copiesAtOnce: Int,
+    val copyMilliseconds: Double,
 )
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -107,7 +107,7 @@
 
     private fun limitOf(engine: EngineProfile, slowdown: Double, gapGoalMilliseconds: Long): Int {
         if (gapGoalMilliseconds <= 0) return engine.slots
-        val allowed = gapGoalMilliseconds * GAP_SHARE / slowdown
+        val allowed = gapGoalMilliseconds * minOf(GAP_SHARE / slowdown, 1 / SHIFT_RESERVE)
         val most = (1..engine.slots).lastOrNull { engine.passMilliseconds(it) <= allowed }
         // Where even one request misses the goal, fewer requests would not help any of them.
         return most ?: engine.slots
@@ -126,6 +126,12 @@
         /** Part of the goal for pauses that passes may take; the rest is for reading prompts. */
         public const val GAP_SHARE: Double = 0.9
 
+        /**
+         * Slowdown of passes right after a shift of the demand. Streams that run then last on, so
+         * a rank takes only as many as keep their pauses until the experts have moved.
+         */
+        public const val SHIFT_RESERVE: Double = 2.3
+
         private const val MOST_SLOWDOWN = 20.0
         private const val NEAR_BONUS = 0.1
         private const val RANK_WEIGHT = 0.5
--- a/core/src/main/kotlin/org/vanilladale/core/groupswitch/GroupPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/GroupPlanner.kt
@@ -15,12 +15,18 @@
 /** Limits of one change of a group's maps: copies that a rank can load for each set. */
 public data class ChangeLimits(val copiesOfSet: Int)
 
-/** New maps for all sets of a group, and the mean skew of the sets before and after. */
+/**
+ * New maps for all sets of a group, and the mean skew of the sets before and after.
+ *
+ * @property copies experts that all ranks load for it
+ * @property copiesOfRank experts that the rank with most of them loads
+ */
 public data class GroupProposal(
     val maps: List<ExpertMap>,
     val skewBefore: Double,
     val skewAfter: Double,
     val copies: Int,
+    val copiesOfRank: Int,
 )
 
 /**
@@ -51,8 +57,9 @@
         val before = maps.indices.map { skew(maps[it], tokens[it]) }.average()
         val after = maps.indices.map { skew(planned[it], tokens[it]) }.average()
         if (before - after < LEAST_GAIN) return null
-        val copies = maps.indices.sumOf { planned[it].copiesMissingIn(maps[it]).size }
-        return GroupProposal(planned, before, after, copies)
+        val copies = maps.indices.flatMap { planned[it].copiesMissingIn(maps[it]) }
+        val copiesOfRank = copies.groupingBy { it.rank }.eachCount().values.maxOrNull() ?: 0
+        return GroupProposal(planned, before, after, copies.size, copiesOfRank)
     }
 
     private fun planSet(
@@ -95,8 +102,8 @@
         const val SKEW_OF_COPY = 0.08
         const val SKEW_WEIGHT = 0.7
 
-        /** Copies of one set in one change; loading them takes well under a second. */
-        const val MOST_COPIES = 10
+        /** The first copies of a set gain most, and a change waits for the rank that loads longest. */
+        const val MOST_COPIES = 4
 
         /** Drop of the mean skew that is worth the orders and copies of a change. */
         const val LEAST_GAIN = 0.35
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
@@ -104,12 +104,20 @@
         val limits = ChangeLimits(profile.copiesAtOnce)
         val maps = state.maps ?: return
         val proposal = planner.planOrNull(maps, tokens, limits, clock()) ?: return
-        change(state, switch, proposal)
+        change(state, switch, proposal, profile)
     }
 
-    private suspend fun change(state: GroupState, switch: MapSwitch, proposal: GroupProposal) {
+    private fun copyMilliseconds(proposal: GroupProposal, profile: ExpertProfile): Long =
+        (proposal.copiesOfRank * profile.copyMilliseconds).toLong()
+
+    private suspend fun change(
+        state: GroupState,
+        switch: MapSwitch,
+        proposal: GroupProposal,
+        profile: ExpertProfile,
+    ) {
         val startedAt = clock()
-        val result = switch.run(proposal.maps)
+        val result = switch.run(proposal.maps, copyMilliseconds(proposal, profile))
         log.log(
             GatewayEvent.MapSwitched(
                 state.group.text,
@@ -181,7 +189,7 @@
 
     private companion object {
         /** Reads are priced, and demand shifts every few seconds on the days with shifts. */
-        const val SAMPLE_MILLISECONDS = 400L
+        const val SAMPLE_MILLISECONDS = 300L
 
         /** A switch in progress ends within this time once its copies are loaded. */
         const val TAKE_OVER_MILLISECONDS = 700L
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -98,8 +98,10 @@
 
     private fun TargetOutcomes.note(end: AttemptEnd, target: TargetId, now: Timestamp) {
         when (end) {
-            AttemptEnd.NOT_SENT, AttemptEnd.WRONG_TARGET, AttemptEnd.SILENT -> unreachable(target, now)
-            AttemptEnd.REJECTED, AttemptEnd.FAILED, AttemptEnd.BROKEN -> failed(target, now)
+            AttemptEnd.NOT_SENT, AttemptEnd.WRONG_TARGET -> unreachable(target, now)
+
+            AttemptEnd.SILENT, AttemptEnd.REJECTED, AttemptEnd.FAILED, AttemptEnd.BROKEN ->
+                failed(target, now)
         }
     }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/MapSwitch.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/MapSwitch.kt
@@ -57,15 +57,15 @@
     public var version: Long = 0
         private set
 
-    /** Switches to [maps]. */
-    public suspend fun run(maps: List<ExpertMap>): SwitchResult {
+    /** Switches to [maps], for which the ranks load experts for about [copyMilliseconds]. */
+    public suspend fun run(maps: List<ExpertMap>, copyMilliseconds: Long): SwitchResult {
         val before = reports() ?: return SwitchResult.ABANDONED
         if (!before.values.all { it.isClean }) return SwitchResult.UNSETTLED
         val wanted = newVersion(highestVersion(before.values)).also { version = it }
         val isTaken = inParallel(ranks) { takesPrepare(it, RankOrder.Prepare(wanted, maps)) }
-        val prepared = (if (isTaken) awaitAll(COPY_MILLISECONDS) { it.prepared == wanted } else null)
-            ?: return SwitchResult.ABANDONED
-        val latest = prepared.values.maxOf { it.step.value }
+        if (!isTaken) return SwitchResult.ABANDONED
+        delay(copyMilliseconds)
+        val latest = reports()?.values?.maxOf { it.step.value } ?: return SwitchResult.ABANDONED
         var step = Step(latest)
         var held = OrderAnswer.CONFLICT
         for (ahead in passesAhead) {
@@ -75,7 +75,8 @@
         }
         if (held == OrderAnswer.UNANSWERED) return SwitchResult.UNSETTLED
         if (held != OrderAnswer.ACCEPTED) return SwitchResult.ABANDONED
-        val isArmed = inParallel(ranks) { arm(it, RankOrder.Arm(wanted, step)) }
+        // Reports lag, so the answers to these orders tell when the copies are complete.
+        val isArmed = inParallel(ranks) { armOnceLoaded(it, RankOrder.Arm(wanted, step)) }
         val isReleased = isArmed && release(holder, step)
         // Reports of before the switch step would look like those of a group at rest.
         val isInUse = isReleased && awaitAll(PASS_MILLISECONDS) { it.mapVersion == wanted } != null
@@ -146,8 +147,18 @@
         return give(rank, order) != OrderAnswer.REJECTED
     }
 
-    private suspend fun arm(rank: KnownTarget, order: RankOrder.Arm): Boolean =
-        given(rank, order) { it.armed == order.version }
+    /** Arms [rank] as soon as its copies are complete; the hold lets it take its time. */
+    private suspend fun armOnceLoaded(rank: KnownTarget, order: RankOrder.Arm): Boolean {
+        val deadline = clock().deadlineAfter(ARM_MILLISECONDS)
+        while (!deadline.hasPassed(clock())) {
+            when (give(rank, order)) {
+                OrderAnswer.ACCEPTED -> return true
+                OrderAnswer.CONFLICT -> delay(ARM_RETRY_MILLISECONDS)
+                OrderAnswer.UNANSWERED, OrderAnswer.REJECTED -> return false
+            }
+        }
+        return false
+    }
 
     private suspend fun disarm(rank: KnownTarget, armed: Long): Boolean =
         given(rank, RankOrder.Disarm(armed)) { it.armed == null }
@@ -196,8 +207,9 @@
         /** Passes from the last report to the switch; reports are a few passes old. */
         val passesAhead = listOf(4L, 8L, 14L)
 
-        /** Longest time for copies; loading those of one change takes about a second. */
-        const val COPY_MILLISECONDS = 5_000L
+        /** Longest time for which a group may be held because a copy takes longer than expected. */
+        const val ARM_MILLISECONDS = 800L
+        const val ARM_RETRY_MILLISECONDS = 30L
 
         /** Longest time until the switch step has passed; a busy group makes ten passes a second. */
         const val PASS_MILLISECONDS = 1_500L
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -27,6 +27,9 @@
 internal class Waiter(val request: ForwardedRequest, val tried: Set<TargetId>) {
     /** The place, or null when a request with a better claim took this one's turn. */
     val place = CompletableDeferred<Place?>()
+
+    /** Time until which the request waits. */
+    var until: Deadline = request.deadline
 }
 
 /**
@@ -42,13 +45,21 @@
 ) {
     private val placement = TargetPlacement(random)
     private val running = HashMap<TargetId, Int>()
-    private val queue = FairQueue<Waiter>(MOST_WAITING)
+
+    /** Requests whose answer can still come within the goal of their route. */
+    private val fresh = FairQueue<Waiter>(MOST_WAITING)
+
+    /** Requests that are late whatever happens; they take the places that fresh ones leave. */
+    private val late = FairQueue<Waiter>(MOST_WAITING)
+
+    /** Request that is next in turn. */
+    private var head: Waiter? = null
     private var serviceMilliseconds = 0.0
 
     val outcomes = TargetOutcomes()
 
     /** Requests that wait for a place. */
-    val waiting: Int get() = queue.size
+    val waiting: Int get() = fresh.size + late.size + if (head == null) 0 else 1
 
     /** Targets with requests of this entry. */
     val inUse: Set<TargetId> get() = running.keys
@@ -58,49 +69,61 @@
     /** Places [waiter] at once or queues it until the returned deadline, or refuses it. */
     fun admit(waiter: Waiter, now: Timestamp): Either<Refusal, Deadline> {
         val request = waiter.request
-        if (queue.size == 0) {
+        if (waiting == 0) {
             place(waiter, candidates(this, now))?.let {
                 waiter.place.complete(it)
                 return request.deadline.right()
             }
         }
         return HoldRule.decide(backlog(request, now), request.deadline, now).flatMap { until ->
-            queue.offer(queued(waiter, until)).map { displaced ->
-                displaced?.key?.place?.complete(null)
-                until
-            }
+            waiter.until = until
+            val freshUntil = request.arrivedAt
+                .deadlineAfter(request.route.goalMilliseconds - FIRST_ANSWER_MILLISECONDS)
+            enqueue(fresh, waiter, minOf(freshUntil, until, Deadline::compareTo)).map { until }
         }
     }
 
-    private fun queued(waiter: Waiter, until: Deadline) = QueuedRequest(
-        waiter,
-        waiter.request.workspace?.id ?: NO_WORKSPACE,
-        (MOST_URGENT - waiter.request.priority).coerceIn(0, MOST_URGENT),
-        until,
-    )
+    private fun enqueue(queue: FairQueue<Waiter>, waiter: Waiter, deadline: Deadline) = queue.offer(
+        QueuedRequest(
+            waiter,
+            waiter.request.workspace?.id ?: NO_WORKSPACE,
+            (MOST_URGENT - waiter.request.priority).coerceIn(0, MOST_URGENT),
+            deadline,
+        ),
+    ).onRight { displaced -> displaced?.key?.place?.complete(null) }
+
+    /** Returns the next waiter, a fresh one if there is any. */
+    private fun nextOrNull(now: Timestamp): Waiter? {
+        val polled = fresh.poll(now)
+        polled.shed.forEach { shed ->
+            enqueue(late, shed.key, shed.key.until).onLeft { shed.key.place.complete(null) }
+        }
+        // An overdue waiter refuses itself when its own timer fires.
+        return (polled.next ?: late.poll(now).next)?.key
+    }
 
     /** Gives free places to waiting requests. */
     fun fill(now: Timestamp) {
-        while (queue.size > 0) {
-            // An overdue waiter refuses itself when its own timer fires.
-            val next = queue.poll(now).next ?: return
-            val place = place(next.key, candidates(this, now))
-            if (place == null) {
-                queue.offer(next)
-                return
-            }
-            next.key.place.complete(place)
+        while (true) {
+            val next = head ?: nextOrNull(now) ?: return
+            // A request for which there is no place yet keeps its turn.
+            head = next
+            val place = place(next, candidates(this, now)) ?: return
+            head = null
+            next.place.complete(place)
         }
     }
 
     /** Gives places that peers may have freed; waiting entries share them by chance. */
     fun fillByChance(now: Timestamp) {
-        if (queue.size > 0 && random.nextInt(1 + peersWithWaiting()) == 0) fill(now)
+        if (waiting > 0 && random.nextInt(1 + peersWithWaiting()) == 0) fill(now)
     }
 
     /** Takes [waiter] out of the queue. */
     fun remove(waiter: Waiter) {
-        queue.remove(waiter)
+        if (head === waiter) head = null
+        fresh.remove(waiter)
+        late.remove(waiter)
     }
 
     /** Frees a place at [target] that was held for [heldMilliseconds]. */
@@ -128,7 +151,7 @@
     private fun backlog(request: ForwardedRequest, now: Timestamp): PoolBacklog {
         val all = candidates(this, now)
         val places = placement.places(all, request.pool.engine, request.route.gapGoalMilliseconds)
-        return PoolBacklog(queue.size + peersWaiting(), places, service(request.pool))
+        return PoolBacklog(waiting + peersWaiting(), places, service(request.pool))
     }
 
     private fun service(pool: GatewayPool): Double = when {
@@ -143,6 +166,9 @@
         const val MOST_URGENT = 9
         const val SERVICE_WEIGHT = 0.1
 
+        /** Time from the send to the first event or the answer of a target that has a place. */
+        const val FIRST_ANSWER_MILLISECONDS = 180L
+
         /** Service time of a plain service before the first answer. */
         const val USUAL_SERVICE_MILLISECONDS = 30.0
         val NO_WORKSPACE = WorkspaceId.parse("-")
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/SilenceLimits.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/SilenceLimits.kt
@@ -8,7 +8,7 @@
     fun firstAnswer(request: ForwardedRequest, mayRepeat: Boolean): Long = when {
         !mayRepeat -> left(request)
 
-        request.route.repeat.isStream -> minOf(STREAM_MILLISECONDS, left(request))
+        request.route.repeat.isStream -> minOf(FIRST_EVENT_MILLISECONDS, left(request))
 
         // A second target can still answer within the goal when the first one is quick as a rule.
         else -> minOf(
@@ -19,14 +19,20 @@
 
     /** Returns the longest wait in milliseconds for the next part of an answer. */
     fun nextPart(request: ForwardedRequest, mayRepeat: Boolean): Long =
-        if (mayRepeat) minOf(STREAM_MILLISECONDS, left(request)) else left(request)
+        if (mayRepeat) minOf(EVENT_MILLISECONDS, left(request)) else left(request)
 
     private fun left(request: ForwardedRequest): Long =
         request.deadline.millisecondsLeft(clock()).coerceAtLeast(1)
 
     private companion object {
-        /** Callers leave a stream after two seconds without an event; a second target needs half. */
-        const val STREAM_MILLISECONDS = 1_000L
+        /**
+         * Callers leave a stream after two seconds without an event. Under load a first event takes
+         * up to a second; another target would not be quicker then.
+         */
+        const val FIRST_EVENT_MILLISECONDS = 1_500L
+
+        /** Ten passes of a busy group; another target brings the next event in half a second. */
+        const val EVENT_MILLISECONDS = 1_200L
 
         const val GOAL_SHARE = 0.6
     }
