--- a/core/src/main/kotlin/org/vanilladale/core/gateway/EngineProfile.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/EngineProfile.kt
@@ -22,7 +22,7 @@
     val usualAnswerTokens: Double,
     val experts: ExpertProfile? = null,
 ) {
-    /** Returns the duration of a pass in milliseconds with [writing] requests on the fullest rank. */
+    /** Returns the duration of a pass in milliseconds with [writing] requests on each rank. */
     public fun passMilliseconds(writing: Int): Double =
         stride * (stepMilliseconds + requestMilliseconds * writing)
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/HoldRule.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/HoldRule.kt
@@ -29,7 +29,7 @@
  * deadline. Otherwise its caller is better off with a refusal now and the time at which to return.
  */
 public object HoldRule {
-    /** Callers leave a stream without an event after two seconds; the rest is for the first event. */
+    /** Callers leave a stream after two seconds without an event, the first one included. */
     public const val MOST_WAIT_MILLISECONDS: Long = 1_200
 
     /** A return within less would meet the same load. */
@@ -49,7 +49,13 @@
         val longest = minOf(MOST_WAIT_MILLISECONDS, left / 2)
         if (wait != null && wait <= longest) return now.deadlineAfter(longest).right()
         val returnIn = ((wait ?: longest) - longest / 2)
-            .coerceIn(LEAST_RETURN_MILLISECONDS, maxOf(LEAST_RETURN_MILLISECONDS, left / RETURN_SHARE))
+            .coerceIn(
+                LEAST_RETURN_MILLISECONDS,
+                maxOf(
+                    LEAST_RETURN_MILLISECONDS,
+                    left / RETURN_SHARE,
+                ),
+            )
         val reason =
             if (wait == null) RefusalReason.NO_TARGET else RefusalReason.TARGET_OVERLOADED
         return Refusal(
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetDirectory.kt
@@ -13,9 +13,7 @@
  * [graceMilliseconds]: the store drops entries while it is away, and a live target is listed again
  * within that time. In all other cases a missing entry means that the target has gone.
  */
-public class TargetDirectory(
-    private val graceMilliseconds: Long = DEFAULT_GRACE_MILLISECONDS,
-) {
+public class TargetDirectory(private val graceMilliseconds: Long = DEFAULT_GRACE_MILLISECONDS) {
     private val listed = LinkedHashMap<TargetId, KnownTarget>()
     private val missingUntil = HashMap<TargetId, Deadline>()
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -24,8 +24,8 @@
  * Chooses the target of an attempt; answers the steady load and bursts of streams.
  *
  * All ranks of a group run each pass together, so a pass lasts as long as that of the fullest rank.
- * A request goes to the group whose passes stay shortest with it, there to the emptiest rank. A rank
- * takes only as many requests as keep the pauses between events under the goal of the route.
+ * A request goes to the group whose passes stay shortest with it, there to the emptiest rank. A
+ * rank takes only as many requests as keep the pauses between events under the route's goal.
  */
 public class TargetPlacement(private val random: Random) {
     private class Group(val members: List<PlacementCandidate>) {
@@ -57,13 +57,18 @@
     ): Int = if (engine == null) {
         candidates.sumOf { it.target.slots }
     } else {
-        groupsOf(candidates, engine, gapGoalMilliseconds).values.sumOf { it.limit * it.members.size }
+        groupsOf(candidates, engine, gapGoalMilliseconds).values.sumOf {
+            it.limit * it.members.size
+        }
     }
 
     private fun leastLoadedOrNull(candidates: List<PlacementCandidate>): PlacementCandidate? =
         candidates.filter { it.running < limitOf(it) }
             .shuffled(random)
-            .minByOrNull { it.running.toDouble() / it.target.slots - if (it.near) NEAR_BONUS else 0.0 }
+            .minByOrNull {
+                it.running.toDouble() / it.target.slots -
+                    if (it.near) NEAR_BONUS else 0.0
+            }
 
     /** A plain service queues a few requests, which costs less than a refusal. */
     private fun limitOf(candidate: PlacementCandidate) =
@@ -97,7 +102,7 @@
         }
     }
 
-    /** Passes last longer than the model says while experts are in uneven demand or a rank is slow. */
+    /** Passes last longer than the model says while demand is uneven or a rank is slow. */
     private fun slowdownOf(members: List<PlacementCandidate>, engine: EngineProfile): Double {
         val gaps = members.mapNotNull { it.gapMilliseconds }
         if (gaps.isEmpty()) return 1.0
--- a/core/src/main/kotlin/org/vanilladale/core/groupswitch/GroupPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/GroupPlanner.kt
@@ -32,8 +32,8 @@
 /**
  * Plans the maps of a group's sets of layers together; answers sudden shifts of the demand.
  *
- * A pass lasts as long as the sum over the sets of their fullest ranks, so a change is judged by the
- * mean skew of all sets.
+ * A pass lasts as long as the sum over the sets of their fullest ranks, so a change is judged by
+ * the mean skew of all sets.
  */
 public class GroupPlanner {
     private val options = PlacementOptions(
@@ -77,7 +77,9 @@
             now,
         )
         val proposed = planner.plan(input).getOrNull()?.map ?: return map
-        val most = proposed.copiesMissingIn(map).groupingBy { it.rank }.eachCount().values.maxOrNull()
+        val most = proposed.copiesMissingIn(map).groupingBy {
+            it.rank
+        }.eachCount().values.maxOrNull()
         return if (most == null || most <= limits.copiesOfSet) proposed else map
     }
 
@@ -102,7 +104,7 @@
         const val SKEW_OF_COPY = 0.08
         const val SKEW_WEIGHT = 0.7
 
-        /** The first copies of a set gain most, and a change waits for the rank that loads longest. */
+        /** The first copies gain most, and a change waits for the rank that loads longest. */
         const val MOST_COPIES = 4
 
         /** Drop of the mean skew that is worth the orders and copies of a change. */
--- a/core/src/main/kotlin/org/vanilladale/core/retry/ResendDecision.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/retry/ResendDecision.kt
@@ -66,7 +66,11 @@
     }
 
     private fun refusalOf(end: AttemptEnd, run: RunState): Refusal = when {
-        run == RunState.NO -> Refusal(RefusalReason.TARGET_OVERLOADED, run, detail = end.reason.code)
+        run == RunState.NO -> Refusal(
+            RefusalReason.TARGET_OVERLOADED,
+            run,
+            detail = end.reason.code,
+        )
         end == AttemptEnd.SILENT -> Refusal(RefusalReason.DEADLINE_PASSED, run)
         else -> Refusal(RefusalReason.TARGET_FAILED, run, detail = end.reason.code)
     }
--- a/core/src/main/kotlin/org/vanilladale/core/retry/WindowedRetryBudget.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/retry/WindowedRetryBudget.kt
@@ -6,8 +6,8 @@
  * One entry's part of a retry budget that the whole fleet shares. Keep it under a lock.
  *
  * In each window of [windowMilliseconds] the fleet may repeat [ratio] of its requests and [slack]
- * more. Without asking the others an entry spends that ratio of its own requests and its part of the
- * slack, less a margin for entries that restart or that it does not know.
+ * more. Without asking the others an entry spends that ratio of its own requests and its part of
+ * the slack, less a margin for entries that restart or that it does not know.
  */
 public class WindowedRetryBudget(
     private val ratio: Double,
@@ -57,7 +57,7 @@
     private companion object {
         const val BUCKETS = 40
 
-        /** Part of the budget that is spent; the rest covers restarts, which forget what was spent. */
+        /** Part of the budget that is spent; restarts forget what they spent of the rest. */
         const val MARGIN = 0.8
     }
 }
--- a/core/src/main/kotlin/org/vanilladale/core/settings/SettingsFault.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/settings/SettingsFault.kt
@@ -8,5 +8,5 @@
 public data class SettingsFault(val found: String) {
     /** What was found and what to do. */
     val message: String
-        get() = "settings: $found; correct this field, docs/operations.md lists all fields"
+        get() = "settings: $found; correct this field, docs/OPERATIONS.md lists all fields"
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
@@ -0,0 +1,76 @@
+package org.vanilladale.core.gateway
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.schema.PoolWaiting
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.TargetShare
+import org.vanilladale.schema.VmId
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class FleetViewTest {
+    private val a = TargetId.parse("a")
+    private val view = FleetView(VmId.parse("vm-0"), silenceMilliseconds = 1_000)
+
+    private fun share(running: Int, failures: Int = 0, gap: Int = 0) =
+        listOf(TargetShare(a, running, failures, gap))
+
+    @Test
+    fun `the load of a target is the sum over the last beats of all peers`() {
+        view.heard(beat("vm-1", 1, targets = share(3, 1, 80)), at(0))
+        view.heard(
+            beat("vm-2", 1, targets = share(2, 0, 100), waiting = listOf(PoolWaiting(model, 4))),
+            at(0),
+        )
+        view.heard(beat("vm-1", 2, targets = share(1, 1, 60)), at(10))
+        expectThat(view.running(a)).isEqualTo(3)
+        expectThat(view.failures(a)).isEqualTo(1)
+        expectThat(view.gapOrNull(a)).isEqualTo(80.0)
+        expectThat(view.waiting(model)).isEqualTo(4)
+        expectThat(view.waitingEntries(model)).isEqualTo(1)
+    }
+
+    @Test
+    fun `a copy, an older beat and the own one change nothing`() {
+        expectThat(view.heard(beat("vm-1", 5, targets = share(3)), at(0))).isTrue()
+        expectThat(view.heard(beat("vm-1", 5, targets = share(9)), at(0))).isFalse()
+        expectThat(view.heard(beat("vm-1", 4, targets = share(9)), at(0))).isFalse()
+        expectThat(view.heard(beat("vm-0", 9, targets = share(9)), at(0))).isFalse()
+        expectThat(view.running(a)).isEqualTo(3)
+    }
+
+    @Test
+    fun `a silent peer adds no load but still shares the budgets`() {
+        view.heard(beat("vm-1", 1, targets = share(3, 2, 70)), at(0))
+        expectThat(view.expire(at(999))).hasSize(0)
+        expectThat(view.expire(at(1_000))).hasSize(1)
+        expectThat(view.running(a)).isEqualTo(0)
+        expectThat(view.gapOrNull(a)).isNull()
+        expectThat(view.entryCount).isEqualTo(2)
+        expectThat(view.lost).hasSize(1)
+    }
+
+    @Test
+    fun `a restart whose clock was set back counts once the old process is silent`() {
+        view.heard(beat("vm-1", 50, incarnation = 9, targets = share(3)), at(0))
+        expectThat(view.heard(beat("vm-1", 1, incarnation = 4), at(10))).isFalse()
+        view.expire(at(1_000))
+        expectThat(view.heard(beat("vm-1", 2, incarnation = 4), at(1_010))).isTrue()
+        expectThat(view.live).hasSize(1)
+        expectThat(view.lost).hasSize(0)
+    }
+
+    @Test
+    fun `the highest configuration of live peers is known`() {
+        view.heard(beat("vm-1", 1, tables = 4), at(0))
+        view.heard(beat("vm-2", 1, tables = 7), at(500))
+        expectThat(view.highestTablesRevision).isEqualTo(Revision(7))
+        view.expire(at(1_500))
+        expectThat(view.highestTablesRevision).isNull()
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/GatewayFixtures.kt
@@ -0,0 +1,87 @@
+package org.vanilladale.core.gateway
+
+import org.vanilladale.core.groupswitch.GroupSeat
+import org.vanilladale.schema.DataCentreName
+import org.vanilladale.schema.EntryBeat
+import org.vanilladale.schema.EntryPhase
+import org.vanilladale.schema.GroupId
+import org.vanilladale.schema.Incarnation
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.PoolWaiting
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.RouteName
+import org.vanilladale.schema.SocketAddressText
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.TargetShare
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.VmId
+
+internal val model = PoolName.parse("model")
+internal val desk = PoolName.parse("desk")
+
+internal fun at(milliseconds: Long) = Timestamp.fromEpochMilliseconds(milliseconds)
+
+/** Costs of an engine like those of both users. */
+internal val engine = EngineProfile(8, 4, 4.55, 1.3575, 61_400.0, 835.0, 97.0)
+
+internal fun target(
+    id: String,
+    pool: PoolName = model,
+    leaving: Boolean = false,
+    seat: GroupSeat? = null,
+) = KnownTarget(
+    TargetId.parse(id),
+    pool,
+    SocketAddressText.parse("10.0.0.1:8000"),
+    DataCentreName.parse("north"),
+    8,
+    leaving,
+    seat,
+)
+
+internal fun seat(group: String, rank: Int, size: Int = 2, epoch: Long = 1, open: Boolean = true) =
+    GroupSeat(GroupId.parse(group), Rank(rank), size, epoch, open)
+
+internal fun candidate(
+    target: KnownTarget,
+    running: Int = 0,
+    failures: Int = 0,
+    gap: Double? = null,
+    avoided: Boolean = false,
+) = PlacementCandidate(target, running, failures, gap, avoided, near = true)
+
+internal fun route(prefix: String, vararg pools: WeightedPool, host: String = "host") =
+    GatewayRoute(
+        RouteName.parse("route-$prefix"),
+        host,
+        prefix,
+        pools.toList(),
+        RepeatRule.IDEMPOTENT,
+        500,
+        120,
+        8_000,
+        1,
+        2,
+        false,
+    )
+
+internal fun beat(
+    vm: String,
+    sequence: Long,
+    incarnation: Long = 1,
+    targets: List<TargetShare> = emptyList(),
+    waiting: List<PoolWaiting> = emptyList(),
+    tables: Long? = null,
+) = EntryBeat(
+    VmId.parse(vm),
+    SocketAddressText.parse("10.0.0.${vm.last()}:7000"),
+    DataCentreName.parse("north"),
+    Incarnation(incarnation),
+    sequence,
+    EntryPhase.SERVING,
+    tables?.let(::Revision),
+    null,
+    targets,
+    waiting,
+)
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/TargetOutcomesTest.kt
@@ -0,0 +1,43 @@
+package org.vanilladale.core.gateway
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.schema.TargetId
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class TargetOutcomesTest {
+    private val a = TargetId.parse("a")
+    private val outcomes = TargetOutcomes()
+
+    @Test
+    fun `a failure counts for three seconds`() {
+        outcomes.failed(a, at(0))
+        outcomes.failed(a, at(1_000))
+        expectThat(outcomes.failures(a, at(2_999))).isEqualTo(2)
+        expectThat(outcomes.failures(a, at(3_000))).isEqualTo(1)
+        expectThat(outcomes.active(at(4_000))).isEmpty()
+    }
+
+    @Test
+    fun `a target that can't be reached is avoided for longer each time, until it answers`() {
+        outcomes.unreachable(a, at(0))
+        expectThat(outcomes.isAvoided(a, at(249))).isTrue()
+        expectThat(outcomes.isAvoided(a, at(250))).isFalse()
+        outcomes.unreachable(a, at(300))
+        expectThat(outcomes.isAvoided(a, at(799))).isTrue()
+        outcomes.succeeded(a)
+        expectThat(outcomes.isAvoided(a, at(799))).isFalse()
+    }
+
+    @Test
+    fun `gaps are smoothed and forgotten after a second`() {
+        outcomes.observedGap(a, 100, at(0))
+        outcomes.observedGap(a, 200, at(100))
+        expectThat(outcomes.gapOrNull(a, at(100))).isEqualTo(130.0)
+        expectThat(outcomes.gapOrNull(a, at(1_100))).isNull()
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/TargetPlacementTest.kt
@@ -0,0 +1,74 @@
+package org.vanilladale.core.gateway
+
+import kotlin.random.Random
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/** Answers steady load, bursts of streams, a slow group and a shift of the demand. */
+class TargetPlacementTest {
+    private val placement = TargetPlacement(Random(1))
+
+    private fun group(name: String, running: List<Int>, gap: Double? = null) =
+        running.mapIndexed { rank, count ->
+            val id = "$name-$rank"
+            candidate(target(id, seat = seat(name, rank, running.size)), count, gap = gap)
+        }
+
+    private fun choose(candidates: List<PlacementCandidate>) =
+        placement.chooseOrNull(candidates, engine, GAP_GOAL)?.target?.id?.text
+
+    @Test
+    fun `a request goes to the emptiest rank of the group with the shorter passes`() {
+        expectThat(choose(group("g", listOf(4, 2, 4)) + group("h", listOf(3, 1, 3))))
+            .isEqualTo("h-1")
+    }
+
+    @Test
+    fun `a group whose passes last longer than the model says gets less`() {
+        val slow = group("g", listOf(1, 1), gap = 200.0)
+        val sound = group("h", listOf(3, 3), gap = 45.0)
+        expectThat(choose(slow + sound)?.first()).isEqualTo('h')
+    }
+
+    @Test
+    fun `a burst fills no rank beyond what keeps its pauses right after a shift`() {
+        val running = HashMap<String, Int>()
+        fun candidates() = group("g", List(8) { running["g-$it"] ?: 0 })
+        while (true) {
+            val chosen = choose(candidates()) ?: break
+            running.merge(chosen, 1, Int::plus)
+        }
+        val fullest = running.values.max()
+        val pause = engine.passMilliseconds(fullest) * TargetPlacement.SHIFT_RESERVE
+        expectThat(running.size).isEqualTo(8)
+        expectThat(pause).isLessThanOrEqualTo(GAP_GOAL.toDouble())
+    }
+
+    @Test
+    fun `ranks of a broken group and targets that fail or can't be reached are used last`() {
+        val broken = candidate(target("a", seat = seat("g", 0, open = false)))
+        val failing = candidate(target("b"), failures = TargetPlacement.SUSPECT_FAILURES)
+        val avoided = candidate(target("c"), avoided = true)
+        val busy = candidate(target("d"), running = 4)
+        expectThat(choose(listOf(broken, failing, avoided, busy))).isEqualTo("d")
+        expectThat(choose(listOf(broken, failing, avoided))).isEqualTo("b")
+        expectThat(choose(listOf(broken, avoided))).isNotNull()
+    }
+
+    @Test
+    fun `a plain service queues a few requests and then takes no more`() {
+        val free = candidate(target("a", desk), running = 20)
+        val full = candidate(target("b", desk), running = 24)
+        val chosen = placement.chooseOrNull(listOf(full, free), null, 0)
+        expectThat(chosen?.target?.id?.text).isEqualTo("a")
+        expectThat(placement.chooseOrNull(listOf(full), null, 0)).isNull()
+    }
+
+    private companion object {
+        const val GAP_GOAL = 120L
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/groupswitch/GroupPlannerTest.kt
@@ -0,0 +1,70 @@
+package org.vanilladale.core.groupswitch
+
+import kotlin.random.Random
+import org.junit.jupiter.api.Test
+import org.vanilladale.core.placement.ExpertMap
+import org.vanilladale.schema.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/** Answers a sudden shift of the demand to other experts. */
+class GroupPlannerTest {
+    private val planner = GroupPlanner()
+    private val now = Timestamp.fromEpochMilliseconds(0)
+    private val even = List(SETS) { ExpertMap.evenly(RANKS, PLACES, EXPERTS) }
+
+    /** Shares that fall as 1 / place^1.5, in a random order for each set. */
+    private fun demand(seed: Int) = List(SETS) { set ->
+        val order = (0 until EXPERTS).shuffled(Random(seed * SETS + set))
+        List(EXPERTS) { expert -> 1.0 / Math.pow(order[expert] + 1.0, 1.5) }
+    }
+
+    private fun plan(maps: List<ExpertMap>, tokens: List<List<Double>>) =
+        planner.planOrNull(maps, tokens, ChangeLimits(4), now)
+
+    @Test
+    fun `a few copies bring the fullest rank near the mean, again after each shift`() {
+        for (seed in 1..5) {
+            var maps = even
+            for (shift in 0..5) {
+                val tokens = demand(seed * 10 + shift)
+                repeat(2) {
+                    val proposal = plan(maps, tokens) ?: return@repeat
+                    expectThat(proposal.copiesOfRank).isLessThanOrEqualTo(SETS * 4)
+                    expectThat(proposal.skewAfter).isLessThan(proposal.skewBefore)
+                    maps = proposal.maps
+                }
+                val skew = maps.indices.map { planner.skew(maps[it], tokens[it]) }.average()
+                expectThat(skew).describedAs("seed $seed, shift $shift").isLessThan(1.5)
+            }
+        }
+    }
+
+    @Test
+    fun `map 0 leaves one rank with far more than the mean`() {
+        val tokens = demand(1)
+        expectThat(even.indices.map { planner.skew(even[it], tokens[it]) }.average())
+            .isGreaterThan(2.0)
+    }
+
+    @Test
+    fun `nothing moves for a small gain`() {
+        val tokens = demand(1)
+        var maps = even
+        repeat(4) { maps = plan(maps, tokens)?.maps ?: maps }
+        expectThat(plan(maps, tokens)).isNull()
+        expectThat(plan(even, tokens)).isNotNull()
+        expectThat(plan(even, List(SETS) { List(EXPERTS) { 1.0 } })).isNull()
+    }
+
+    private companion object {
+        const val SETS = 6
+        const val RANKS = 8
+        const val EXPERTS = 64
+        const val PLACES = 11
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/retry/ResendDecisionTest.kt
@@ -0,0 +1,89 @@
+package org.vanilladale.core.retry
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.core.gateway.RepeatRule
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.core.refusal.status
+import org.vanilladale.schema.RunState
+import org.vanilladale.schema.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+class ResendDecisionTest {
+    private val now = Timestamp.fromEpochMilliseconds(0)
+    private val promises = setOf(408, 421, 429, 503)
+
+    private fun request(
+        repeat: RepeatRule,
+        end: AttemptEnd,
+        runs: Int = if (end.provenNotRun) 0 else 1,
+        sends: Int = 1,
+        left: Long = 1_000,
+    ) = FailedRequest(repeat, end, runs, sends, 2, now.deadlineAfter(left))
+
+    private fun decide(request: FailedRequest, budget: Boolean = true) =
+        ResendDecision.decide(request, now) { budget }
+
+    @Test
+    fun `an order is sent again only when it is proven not to have run`() {
+        AttemptEnd.entries.forEach { end ->
+            val again = decide(request(RepeatRule.AT_MOST_ONCE, end)).getOrNull()
+            expectThat(again).describedAs(end.name)
+                .isEqualTo(end.reason.takeIf { end.provenNotRun })
+        }
+    }
+
+    @Test
+    fun `an order that may have run in an earlier attempt is not sent again`() {
+        val second = request(RepeatRule.AT_MOST_ONCE, AttemptEnd.NOT_SENT, runs = 1, sends = 2)
+        expectThat(decide(second).getOrNull()).isNull()
+    }
+
+    @Test
+    fun `a look-up and a resumable stream are sent again after any end`() {
+        listOf(RepeatRule.IDEMPOTENT, RepeatRule.RESUMABLE_STREAM).forEach { repeat ->
+            AttemptEnd.entries.forEach { end ->
+                expectThat(decide(request(repeat, end)).getOrNull()).isEqualTo(end.reason)
+            }
+        }
+    }
+
+    @Test
+    fun `a refusal never says that a request did not run when it may have`() {
+        cases().forEach { (failed, budget) ->
+            val refusal = decide(failed, budget).leftOrNull()
+            if (refusal != null && failed.mayHaveRun) {
+                expectThat(refusal.run).isEqualTo(RunState.UNKNOWN)
+                expectThat(refusal.status in promises).isEqualTo(false)
+            }
+        }
+    }
+
+    /** All ends of all kinds of request, with and without time, budget and earlier runs. */
+    private fun cases(): List<Pair<FailedRequest, Boolean>> = RepeatRule.entries.flatMap { repeat ->
+        AttemptEnd.entries.flatMap { end ->
+            val atLeast = if (end.provenNotRun) 0 else 1
+            listOf(0L, 1_000L).flatMap { left ->
+                (atLeast..2).flatMap { runs ->
+                    val failed = request(repeat, end, runs, sends = 4, left = left)
+                    listOf(failed to true, failed to false)
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `an empty budget, a late deadline and too many attempts end the request`() {
+        val look = RepeatRule.IDEMPOTENT
+        expectThat(decide(request(look, AttemptEnd.BROKEN), budget = false).leftOrNull()?.reason)
+            .isEqualTo(RefusalReason.RETRY_BUDGET_EMPTY)
+        expectThat(decide(request(look, AttemptEnd.BROKEN, left = 10)).leftOrNull()?.reason)
+            .isEqualTo(RefusalReason.DEADLINE_PASSED)
+        expectThat(decide(request(look, AttemptEnd.BROKEN, runs = 2)).leftOrNull()).isNotNull()
+        expectThat(decide(request(look, AttemptEnd.REJECTED, sends = 4)).leftOrNull()?.reason)
+            .isNotEqualTo(null)
+    }
+}
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
@@ -18,9 +18,6 @@
      * @property answer the failure that the target answered with, for the caller if there is no
      *   other attempt
      */
-    class Failed(
-        val end: AttemptEnd,
-        val detail: String,
-        val answer: HeldAnswer? = null,
-    ) : AttemptResult
+    class Failed(val end: AttemptEnd, val detail: String, val answer: HeldAnswer? = null) :
+        AttemptResult
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerHead.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerHead.kt
@@ -9,7 +9,7 @@
  * @property path path that selects the route, without the query
  * @property key secret that names the workspace; null when the caller sent none
  * @property deadline time at which the caller stops waiting; null when it names none
- * @property resumeAfter id of the last event that the caller holds; null for a stream from its start
+ * @property resumeAfter id of the last event that the caller holds, if any
  */
 public data class CallerHead(
     val request: CallerRequestId,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -176,7 +176,8 @@
             .associate { it.beat.vm to callerAddress(it.beat.address.host) } +
             (settings.vm to settings.callerAddress)
         return CallerAddresses.choose(
-            peers.first.map { AddressCandidate(it.beat.vm, it.beat.dataCentre, it.isServing) } + self,
+            peers.first.map { AddressCandidate(it.beat.vm, it.beat.dataCentre, it.isServing) } +
+                self,
             peers.second.map { AddressCandidate(it.beat.vm, it.beat.dataCentre, it.isServing) },
             near,
             random,
@@ -237,7 +238,9 @@
 
     /** The serving entry with the first name leads; which one it is does not matter. */
     private fun leadsExperts(): Boolean {
-        val serving = fleet.use { view -> view.live.filter { it.isServing }.map { it.beat.vm.text } }
+        val serving = fleet.use { view ->
+            view.live.filter { it.isServing }.map { it.beat.vm.text }
+        }
         return isReady && serving.all { it > settings.vm.text }
     }
 
@@ -273,7 +276,7 @@
         const val NOTICE_MILLISECONDS = 3_200L
 
         /** From the last answer to the end of the process. */
-        const val EXIT_MILLISECONDS = 400L
+        const val EXIT_MILLISECONDS = 1_000L
         const val START_POLL_MILLISECONDS = 10L
         const val MILLISECONDS = 1_000
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -39,11 +39,8 @@
     /** The store became unreadable or readable again. */
     @Serializable
     @SerialName("store")
-    public data class Store(
-        val state: String,
-        val position: Long?,
-        val reason: String? = null,
-    ) : GatewayEvent
+    public data class Store(val state: String, val position: Long?, val reason: String? = null) :
+        GatewayEvent
 
     /** A peer was heard for the first time, again, or no more. */
     @Serializable
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayMetrics.kt
@@ -5,7 +5,8 @@
 
 /** Latency histograms and counters of one gateway. */
 internal class GatewayMetrics(val counters: SystemCounters) {
-    private val answers = histogram("vanilladale_answer_seconds", "Arrival to the end of the answer")
+    private val answers =
+        histogram("vanilladale_answer_seconds", "Arrival to the end of the answer")
     private val firstEvents =
         histogram("vanilladale_first_event_seconds", "Arrival to the first event of a stream")
     private val gaps = histogram("vanilladale_event_gap_seconds", "Pause between two events")
@@ -20,14 +21,19 @@
     fun waited(milliseconds: Long) = waits.observe(milliseconds / MILLISECONDS)
 
     private fun histogram(name: String, help: String): Histogram = counters.register(
-        Histogram.builder().name(name).help(help).classicOnly().classicUpperBounds(*BOUNDS),
+        Histogram.builder().name(name).help(help).classicOnly().classicExponentialUpperBounds(
+            LEAST_SECONDS,
+            FACTOR,
+            BUCKETS,
+        ),
     )
 
     private companion object {
         const val MILLISECONDS = 1_000.0
 
-        /** Seconds around the goals of both users: 0.12 s pauses, 0.5 s first events, 8 s answers. */
-        val BOUNDS =
-            doubleArrayOf(0.01, 0.025, 0.05, 0.08, 0.12, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0)
+        /** From 15 ms, with bounds near both users' goals: 0.12 s pauses, 0.5 s first events. */
+        const val LEAST_SECONDS = 0.015
+        const val FACTOR = 1.42
+        const val BUCKETS = 18
     }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
@@ -69,7 +69,9 @@
 
     private fun mapOf(set: Int, held: List<HeldExperts>): ExpertMap? {
         val byExpert = List(profile.experts) { expert ->
-            held.indices.filter { expert in held[it].bySet.getOrElse(set) { emptyList() } }.map(::Rank)
+            held.indices.filter {
+                expert in held[it].bySet.getOrElse(set) { emptyList() }
+            }.map(::Rank)
         }
         return ExpertMap.fromRanks(ranks.size, profile.places, byExpert).getOrNull()
     }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/KnowledgeFollower.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/KnowledgeFollower.kt
@@ -1,11 +1,11 @@
 package org.vanilladale.gateway
 
 import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.selects.select
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.async
 import org.vanilladale.core.gateway.TargetDirectory
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Revision
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/MapSwitch.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/MapSwitch.kt
@@ -35,9 +35,9 @@
  *   above all that it has had. A rank is armed only with the version that it prepared last.
  * - A hold ends after a failed switch only when each rank was disarmed and has prepared a version
  *   above the failed one. Late copies of the orders to arm it are refused from then on.
- * - That clean-up begins at a rank which is not armed. Once such a rank has prepared the higher
- *   version, the process that wanted the failed one can't find all ranks armed and never ends the
- *   hold by itself.
+ * - That clean-up begins only when not all ranks are armed with one version, at a rank which is
+ *   not armed if there is any, and goes on only when that rank has prepared the higher version.
+ *   From then on no process can find all ranks armed with an earlier one and end a hold for it.
  *
  * @param ranks members of the group in the order of their ranks
  * @param holder member of [ranks] that holds the group; processes use different ones
@@ -66,21 +66,46 @@
         if (!isTaken) return SwitchResult.ABANDONED
         delay(copyMilliseconds)
         val latest = reports()?.values?.maxOf { it.step.value } ?: return SwitchResult.ABANDONED
-        var step = Step(latest)
-        var held = OrderAnswer.CONFLICT
+        val held = hold(latest)
+        return when (held.answer) {
+            OrderAnswer.ACCEPTED ->
+                if (armAndRelease(
+                        wanted,
+                        held.step,
+                    )
+                ) {
+                    SwitchResult.SWITCHED
+                } else {
+                    SwitchResult.UNSETTLED
+                }
+
+            // A late copy may still hold the group.
+            OrderAnswer.UNANSWERED -> SwitchResult.UNSETTLED
+
+            OrderAnswer.CONFLICT, OrderAnswer.REJECTED -> SwitchResult.ABANDONED
+        }
+    }
+
+    private class HeldStep(val step: Step, val answer: OrderAnswer)
+
+    /** Holds the group at a pass soon after [latest], which it may have passed by now. */
+    private suspend fun hold(latest: Long): HeldStep {
+        var held = HeldStep(Step(latest), OrderAnswer.CONFLICT)
         for (ahead in passesAhead) {
-            step = Step(latest + ahead)
-            held = give(holder, RankOrder.Hold(step))
-            if (held != OrderAnswer.CONFLICT) break
+            val step = Step(latest + ahead)
+            held = HeldStep(step, give(holder, RankOrder.Hold(step)))
+            if (held.answer != OrderAnswer.CONFLICT) break
         }
-        if (held == OrderAnswer.UNANSWERED) return SwitchResult.UNSETTLED
-        if (held != OrderAnswer.ACCEPTED) return SwitchResult.ABANDONED
+        return held
+    }
+
+    /** Arms all ranks and ends the hold; true when all of them use the new map. */
+    private suspend fun armAndRelease(wanted: Long, step: Step): Boolean {
         // Reports lag, so the answers to these orders tell when the copies are complete.
         val isArmed = inParallel(ranks) { armOnceLoaded(it, RankOrder.Arm(wanted, step)) }
-        val isReleased = isArmed && release(holder, step)
         // Reports of before the switch step would look like those of a group at rest.
-        val isInUse = isReleased && awaitAll(PASS_MILLISECONDS) { it.mapVersion == wanted } != null
-        return if (isInUse) SwitchResult.SWITCHED else SwitchResult.UNSETTLED
+        return isArmed && release(holder, step) &&
+            awaitAll(PASS_MILLISECONDS) { it.mapVersion == wanted } != null
     }
 
     /** Ends a switch that was left half done; true when no rank is held or armed any more. */
@@ -108,15 +133,15 @@
     private suspend fun cleanUp(found: Map<KnownTarget, RankReport>): Boolean {
         val maps = mapsInUse() ?: return false
         val void = RankOrder.Prepare(newVersion(highestVersion(found.values)), maps)
-        val unarmed = ranks.filter { found.getValue(it).armed == null }
-        val first = unarmed.firstOrNull { give(it, void) == OrderAnswer.ACCEPTED } ?: return false
-        return inParallel(ranks - first) { rank ->
-            val armed = found.getValue(rank).armed
-            val isDisarmed = armed == null || disarm(rank, armed)
-            isDisarmed && prepare(rank, void)
-        }
+        val first = ranks.firstOrNull { found.getValue(it).armed == null } ?: ranks.first()
+        if (!void(first, found.getValue(first).armed, void)) return false
+        return inParallel(ranks - first) { void(it, found.getValue(it).armed, void) }
     }
 
+    /** Leaves [rank] without an armed map, and without one that a late order could arm. */
+    private suspend fun void(rank: KnownTarget, armed: Long?, order: RankOrder.Prepare): Boolean =
+        (armed == null || disarm(rank, armed)) && prepare(rank, order)
+
     /** Waits until the reports of all ranks fulfil [condition]; null when they don't in time. */
     private suspend fun awaitAll(
         milliseconds: Long,
@@ -211,7 +236,7 @@
         const val ARM_MILLISECONDS = 800L
         const val ARM_RETRY_MILLISECONDS = 30L
 
-        /** Longest time until the switch step has passed; a busy group makes ten passes a second. */
+        /** Longest time until the switch step; a busy group makes ten passes a second. */
         const val PASS_MILLISECONDS = 1_500L
         const val POLL_MILLISECONDS = 150L
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PeerBeats.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PeerBeats.kt
@@ -75,7 +75,7 @@
 
     /** Each entry's share of datagrams stays the same as the fleet grows. */
     private fun leastInterval(): Long =
-        maxOf(LEAST_MILLISECONDS, fleet.use { it.live.size } * PER_PEER_MICROSECONDS / 1_000)
+        maxOf(LEAST_MILLISECONDS, fleet.use { it.live.size } * PER_PEER_MICROSECONDS / MICROSECONDS)
 
     /** Sends a beat at once; also to the seeds while they are unknown. */
     fun send() {
@@ -126,6 +126,7 @@
 
         /** Keeps sending and receiving beats to a few percent of a core. */
         const val PER_PEER_MICROSECONDS = 1_500L
+        const val MICROSECONDS = 1_000L
 
         /** A quarter of the silence after which a peer counts as lost. */
         const val IDLE_MILLISECONDS = 250L
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -34,10 +34,7 @@
     private val pools = Sharded<PoolName, HashMap<PoolName, PoolState>>(SHARDS) { HashMap() }
 
     /** Waits for a place at a target that the request has not [tried]. */
-    suspend fun acquire(
-        request: ForwardedRequest,
-        tried: Set<TargetId>,
-    ): Either<Refusal, Place> {
+    suspend fun acquire(request: ForwardedRequest, tried: Set<TargetId>): Either<Refusal, Place> {
         val name = request.pool.name
         val waiter = Waiter(request, tried)
         val until = withPool(name) { admit(waiter, clock()) }
@@ -100,7 +97,9 @@
 
     /** Returns the waiting requests of each pool that has any. */
     fun waiting(): List<PoolWaiting> = pools.mapShards { shard ->
-        shard.filterValues { it.waiting > 0 }.map { (name, state) -> PoolWaiting(name, state.waiting) }
+        shard.filterValues {
+            it.waiting > 0
+        }.map { (name, state) -> PoolWaiting(name, state.waiting) }
     }.flatten()
 
     /** Takes [waiter] out of its queue; returns the place that it got in the meantime. */
@@ -110,7 +109,11 @@
         if (waiter.place.isCompleted) waiter.place.getCompleted() else null
     }
 
-    private fun candidates(state: PoolState, pool: PoolName, now: Timestamp): List<PlacementCandidate> {
+    private fun candidates(
+        state: PoolState,
+        pool: PoolName,
+        now: Timestamp,
+    ): List<PlacementCandidate> {
         val targets = directory.use { it.usable(pool, now) }
         return fleet.use { view ->
             targets.map { target ->
@@ -120,7 +123,13 @@
                     target,
                     state.running(target.id) + view.running(target.id),
                     state.outcomes.failures(target.id, now) + view.failures(target.id),
-                    if (ownGap == null || peerGap == null) ownGap ?: peerGap else (ownGap + peerGap) / 2,
+                    if (ownGap == null ||
+                        peerGap == null
+                    ) {
+                        ownGap ?: peerGap
+                    } else {
+                        (ownGap + peerGap) / 2
+                    },
                     state.outcomes.isAvoided(target.id, now),
                     target.dataCentre == own,
                 )
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -3,8 +3,8 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.right
-import kotlinx.coroutines.CompletableDeferred
 import kotlin.random.Random
+import kotlinx.coroutines.CompletableDeferred
 import org.vanilladale.core.admission.FairQueue
 import org.vanilladale.core.admission.QueuedRequest
 import org.vanilladale.core.gateway.GatewayPool
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/MapSwitchTest.kt
@@ -0,0 +1,126 @@
+package org.vanilladale.gateway
+
+import kotlin.random.Random
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.groupswitch.OrderAnswer
+import org.vanilladale.core.groupswitch.RankOrder
+import org.vanilladale.core.placement.ExpertMap
+import org.vanilladale.schema.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isTrue
+
+/** No pass begins with two maps, and no group stays held, whatever is lost, late or paused. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class MapSwitchTest {
+    private val maps = listOf(ExpertMap.evenly(4, 4, 8))
+
+    private fun TestScope.switch(
+        group: SimulatedGroup,
+        port: RankPort,
+        random: Random,
+        holder: Int,
+    ) = MapSwitch(
+        port,
+        group.ranks,
+        SimulatedGroup.EPOCH,
+        group.ranks[holder],
+        { Timestamp.fromEpochMilliseconds(currentTime) },
+        { above -> maxOf(currentTime * 1_000, above + 1) + random.nextLong(1_000) },
+    ) { maps }
+
+    /** Stops for seconds before some of its orders, as a process that is frozen does. */
+    private class PausingPort(private val port: RankPort, private val random: Random) :
+        RankPort by port {
+        override suspend fun order(rank: KnownTarget, order: RankOrder, epoch: Long): OrderAnswer {
+            if (random.nextInt(30) == 0) delay(random.nextLong(6_000))
+            return port.order(rank, order, epoch)
+        }
+    }
+
+    private fun play(seed: Int, lateShare: Double, movers: Int): SimulatedGroup {
+        lateinit var group: SimulatedGroup
+        runTest {
+            val random = Random(seed)
+            group = SimulatedGroup(backgroundScope, random, lateShare) { currentTime }
+            backgroundScope.launch { group.run() }
+            delay(500)
+            val jobs = List(movers) { mover ->
+                val port = PausingPort(group, random)
+                launch {
+                    while (currentTime < 60_000) {
+                        val switch = switch(group, port, random, mover % group.ranks.size)
+                        val result = switch.run(maps, random.nextLong(600))
+                        if (result == SwitchResult.UNSETTLED) switch.recover()
+                        delay(random.nextLong(1_000))
+                    }
+                }
+            }
+            jobs.forEach { it.join() }
+            // All late orders have come; whoever leads then frees the group.
+            delay(15_000)
+            val last = switch(group, group, random, 0)
+            var tries = 0
+            while (!last.recover() && tries++ < 50) delay(500)
+            delay(1_000)
+            val passes = group.passes
+            delay(2_000)
+            expectThat(group.passes).describedAs("passes go on, seed $seed").isGreaterThan(passes)
+        }
+        return group
+    }
+
+    @Test
+    fun `one mover on sound ranks switches again and again`() {
+        val group = play(seed = 1, lateShare = 0.0, movers = 1)
+        expectThat(group.mixedPasses).isEqualTo(0)
+        expectThat(group.used.size).isGreaterThan(10)
+    }
+
+    @Test
+    fun `late orders, pauses and rivals never mix two maps in a pass`() {
+        var switches = 0
+        for (seed in 1..120) {
+            val group = play(seed, lateShare = 0.05 + 0.1 * (seed % 5), movers = 1 + seed % 3)
+            expectThat(group.mixedPasses).describedAs("seed $seed").isEqualTo(0)
+            switches += group.used.size
+        }
+        expectThat(switches).describedAs("switches of all seeds").isGreaterThan(100)
+    }
+
+    @Test
+    fun `a switch whose process dies with the group held is ended by the next one`() = runTest {
+        val random = Random(1)
+        val group = SimulatedGroup(backgroundScope, random, 0.0) { currentTime }
+        backgroundScope.launch { group.run() }
+        delay(500)
+        val dying = launch { switch(group, DyingPort(group), random, 2).run(maps, 0) }
+        delay(4_000)
+        dying.cancel()
+        val held = group.passes
+        delay(1_000)
+        expectThat(group.passes).describedAs("the group is held").isEqualTo(held)
+        expectThat(switch(group, group, random, 0).recover()).isTrue()
+        delay(1_000)
+        expectThat(group.passes).isGreaterThan(held)
+        expectThat(group.mixedPasses).isEqualTo(0)
+    }
+
+    /** Answers nothing from the second order to arm on, as if the process had died. */
+    private class DyingPort(private val port: RankPort) : RankPort by port {
+        private var armed = 0
+
+        override suspend fun order(rank: KnownTarget, order: RankOrder, epoch: Long): OrderAnswer {
+            if (order is RankOrder.Arm && ++armed > 1) delay(Long.MAX_VALUE)
+            return port.order(rank, order, epoch)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/PoolStateTest.kt
@@ -0,0 +1,162 @@
+package org.vanilladale.gateway
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import java.util.PriorityQueue
+import kotlin.random.Random
+import org.junit.jupiter.api.Test
+import org.vanilladale.core.gateway.CallerRequestId
+import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.GatewayRoute
+import org.vanilladale.core.gateway.GatewayWorkspace
+import org.vanilladale.core.gateway.HoldRule
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.gateway.PlacementCandidate
+import org.vanilladale.core.gateway.RepeatRule
+import org.vanilladale.core.gateway.WeightedPool
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.RouteName
+import org.vanilladale.schema.SocketAddressText
+import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.WorkspaceId
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+
+/** Answers a burst that fills all places for a while; checks what callers get. */
+class PoolStateTest {
+    private val pool = GatewayPool(PoolName.parse("desk"), null)
+    private val route = GatewayRoute(
+        RouteName.parse("r"), "h", "/", listOf(WeightedPool(pool.name, 1)),
+        RepeatRule.AT_MOST_ONCE, GOAL, 0, DEADLINE, 1, 1, false,
+    )
+    private val target = KnownTarget(
+        TargetId.parse("a"),
+        pool.name,
+        SocketAddressText.parse("10.0.0.1:8000"),
+        null,
+        slots = 2,
+        leaving = false,
+        seat = null,
+    )
+
+    private fun at(milliseconds: Long) = Timestamp.fromEpochMilliseconds(milliseconds)
+
+    private fun state(random: Random) = PoolState(
+        random,
+        { state, _ ->
+            listOf(PlacementCandidate(target, state.running(target.id), 0, null, false, true))
+        },
+        { 0 },
+        { 0 },
+    )
+
+    private fun request(id: Int, arrived: Long, workspace: String) = ForwardedRequest(
+        CallerHead(CallerRequestId.parseOrNull("r$id")!!, "h", "/", null, null, null),
+        HttpMethod.POST,
+        "/",
+        MultiMap.caseInsensitiveMultiMap(),
+        Buffer.buffer(),
+        route,
+        pool,
+        GatewayWorkspace(WorkspaceId.parse(workspace), null),
+        Revision(1),
+        at(arrived),
+        at(arrived).deadlineAfter(DEADLINE),
+    )
+
+    private class Outcome(val workspace: String) {
+        var placedAfter: Long? = null
+        var refusedAfter: Long? = null
+    }
+
+    /** Plays arrivals every [gap] ms, for a third of the time three times as many. */
+    private fun play(gap: Long, large: Int): List<Outcome> {
+        val random = Random(7)
+        val state = state(random)
+        val outcomes = ArrayList<Outcome>()
+        val open = ArrayList<Pair<Waiter, Outcome>>()
+        val ends = PriorityQueue<Long>()
+        for (now in 0L..6_000L) {
+            while (ends.isNotEmpty() && ends.peek() <= now) {
+                ends.poll()
+                state.release(target.id, SERVICE)
+                state.fill(at(now))
+            }
+            val burst = now in 2_000L..4_000L
+            if (now % (if (burst) gap / 3 else gap) == 0L) {
+                val name = if (burst && outcomes.size % 10 < large) "large" else "small"
+                val outcome = Outcome(name).also { outcomes += it }
+                val waiter = Waiter(request(outcomes.size, now, name), emptySet())
+                state.admit(waiter, at(now)).fold(
+                    { outcome.refusedAfter = 0 },
+                    { open += waiter to outcome },
+                )
+            }
+            open.removeIf { (waiter, outcome) ->
+                val waited = now - waiter.request.arrivedAt.epochMilliseconds
+                when {
+                    waiter.place.isCompleted -> {
+                        outcome.placedAfter = waited
+                        ends += now + SERVICE
+                        true
+                    }
+
+                    waiter.until.hasPassed(at(now)) -> {
+                        state.remove(waiter)
+                        outcome.refusedAfter = waited
+                        true
+                    }
+
+                    else -> false
+                }
+            }
+        }
+        return outcomes
+    }
+
+    private fun List<Outcome>.inTime() = count {
+        (it.placedAfter ?: Long.MAX_VALUE) <=
+            GOAL - SERVICE
+    }
+
+    @Test
+    fun `steady load waits for nothing`() {
+        val outcomes = play(gap = 60, large = 0).filter { it.placedAfter != null }
+        expectThat(outcomes.take(30).maxOf { it.placedAfter!! }).isEqualTo(0)
+    }
+
+    @Test
+    fun `in a burst most answers that fit the places are still in time`() {
+        val outcomes = play(gap = 60, large = 0)
+        // Six places of 200 ms serve 30 a second; 16 a second arrive before and after the burst.
+        val servable = 2 * 30 + 4 * 16
+        expectThat(outcomes.inTime()).isGreaterThan((servable * 0.8).toInt())
+    }
+
+    @Test
+    fun `no request is held beyond the longest wait, and a hopeless one is refused at once`() {
+        val outcomes = play(gap = 15, large = 0)
+        val refused = outcomes.mapNotNull { it.refusedAfter }
+        expectThat(refused.max()).isLessThanOrEqualTo(HoldRule.MOST_WAIT_MILLISECONDS)
+        expectThat(refused.count { it == 0L }).isGreaterThan(refused.size / 2)
+    }
+
+    @Test
+    fun `a large workspace leaves the small one its share`() {
+        val outcomes = play(gap = 60, large = 8).filter { it.workspace == "small" }
+        val served = outcomes.count { it.placedAfter != null }
+        expectThat(outcomes.size - served).isLessThan(outcomes.size / 5)
+    }
+
+    private companion object {
+        const val GOAL = 500L
+        const val DEADLINE = 8_000L
+        const val SERVICE = 200L
+    }
+}
--- a/operator/src/test/kotlin/org/vanilladale/operator/OperationsPageTest.kt
+++ b/operator/src/test/kotlin/org/vanilladale/operator/OperationsPageTest.kt
@@ -24,8 +24,8 @@
 @OptIn(ExperimentalSerializationApi::class)
 class OperationsPageTest {
     private val root = generateSequence(File("").absoluteFile) { it.parentFile }
-        .first { it.resolve("docs/operations.md").exists() }
-    private val page = root.resolve("docs/operations.md").readText()
+        .first { it.resolve("docs/OPERATIONS.md").exists() }
+    private val page = root.resolve("docs/OPERATIONS.md").readText()
 
     /** Rows of the tables in the section under [heading], by their first cell. */
     private fun rows(heading: String): Map<String, List<String>> =
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/SystemClock.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/SystemClock.kt
@@ -5,7 +5,8 @@
 /** Returns the wall clock of this VM. */
 public fun systemNow(): Timestamp = Timestamp.fromEpochMilliseconds(System.currentTimeMillis())
 
-private val steadyOffset = System.currentTimeMillis() - System.nanoTime() / NANOSECONDS_PER_MILLISECOND
+private val steadyOffset =
+    System.currentTimeMillis() - System.nanoTime() / NANOSECONDS_PER_MILLISECOND
 private const val NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 /**
