--- a/core/src/main/kotlin/org/vanilladale/core/groupswitch/GroupPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/GroupPlanner.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.core.groupswitch
 
+import org.vanilladale.core.placement.ExpertCopy
 import org.vanilladale.core.placement.ExpertMap
 import org.vanilladale.core.placement.ExpertPopularity
 import org.vanilladale.core.placement.MoveBudget
@@ -53,7 +54,14 @@
         limits: ChangeLimits,
         now: Timestamp,
     ): GroupProposal? {
-        val planned = maps.indices.map { set -> planSet(maps[set], tokens[set], limits, now) }
+        // Ranks load for one set after the other, so the sets share out what each rank loads.
+        val loads = HashMap<Rank, Int>()
+        val planned = maps.indices.map { set ->
+            val full = loads.filterValues { it >= MOST_COPIES_OF_RANK }.keys
+            planSet(maps[set], tokens[set], limits, full, now).also { map ->
+                map.copiesMissingIn(maps[set]).forEach { loads.merge(it.rank, 1, Int::plus) }
+            }
+        }
         val before = maps.indices.map { skew(maps[it], tokens[it]) }.average()
         val after = maps.indices.map { skew(planned[it], tokens[it]) }.average()
         if (before - after < LEAST_GAIN) return null
@@ -66,11 +74,12 @@
         map: ExpertMap,
         tokens: List<Double>,
         limits: ChangeLimits,
+        full: Set<Rank>,
         now: Timestamp,
     ): ExpertMap {
         val popularity = ExpertPopularity.even(map.expertCount).observe(tokens, now)
         val input = PlacementInput(
-            PlacementState(map, MoveBudget.of(MOST_COPIES)),
+            PlacementState(map, MoveBudget.of(MOST_COPIES), barred = barred(map, full, now)),
             popularity,
             RankSpeed.even(map.rankCount),
             SKEW_WEIGHT,
@@ -83,6 +92,11 @@
         return if (most == null || most <= limits.copiesOfSet) proposed else map
     }
 
+    /** Keeps further copies off the ranks that load enough for this change. */
+    private fun barred(map: ExpertMap, full: Set<Rank>, now: Timestamp) = full.flatMap { rank ->
+        List(map.expertCount) { ExpertCopy(ExpertId(it), rank) to now.deadlineAfter(1) }
+    }.toMap()
+
     /** Returns the load of the fullest rank over the mean; 1 without tokens. */
     public fun skew(map: ExpertMap, tokens: List<Double>): Double {
         val total = tokens.sum()
@@ -107,6 +121,9 @@
         /** The first copies gain most, and a change waits for the rank that loads longest. */
         const val MOST_COPIES = 4
 
+        /** Copies of all sets that one rank loads for one change, about 0.15 s each. */
+        const val MOST_COPIES_OF_RANK = 3
+
         /** Drop of the mean skew that is worth the orders and copies of a change. */
         const val LEAST_GAIN = 0.35
     }
--- a/core/src/test/kotlin/org/vanilladale/core/groupswitch/GroupPlannerTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/groupswitch/GroupPlannerTest.kt
@@ -34,7 +34,8 @@
                 val tokens = demand(seed * 10 + shift)
                 repeat(2) {
                     val proposal = plan(maps, tokens) ?: return@repeat
-                    expectThat(proposal.copiesOfRank).isLessThanOrEqualTo(SETS * 4)
+                    // Three copies and those of the last set.
+                    expectThat(proposal.copiesOfRank).isLessThanOrEqualTo(3 + 3)
                     expectThat(proposal.skewAfter).isLessThan(proposal.skewBefore)
                     maps = proposal.maps
                 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
@@ -80,8 +80,14 @@
                 ?: GroupState(group, epoch, ranks, profile).also { states[group] = it }
         }
         // The groups of a pool serve the same demand, so one of them tells for all.
-        val state = current.getOrNull(turn++ % current.size.coerceAtLeast(1)) ?: return
-        state.observe(port.chosen(state.sampled(random)))?.let { demand = follow(it, profile) }
+        val state = current.getOrNull(turn % current.size.coerceAtLeast(1)) ?: return
+        val chosen = port.chosen(state.sampled(random))
+        if (chosen == null) turn++
+        state.observe(chosen)?.let { demand = follow(it, profile) }
+        // A report costs far less than counts and shows as well whether a group stands still.
+        current.filter { it !== state }.forEach { other ->
+            port.report(other.sampled(random))?.let { other.reached(it.step) }
+        }
         current.filter { it.job?.isActive != true }.forEach { idle ->
             idle.job = scope.launch { tend(idle, profile) }
         }
@@ -145,7 +151,7 @@
         }
         // While a switch step passes, reports of different age name different versions.
         if (reports.values.distinctBy { it.mapVersion }.size > 1) return
-        state.use(readMaps(state) ?: return)
+        if (!state.isChecked) state.use(readMaps(state) ?: return)
         state.checked()
     }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
@@ -7,6 +7,7 @@
 import org.vanilladale.core.placement.ExpertMap
 import org.vanilladale.schema.GroupId
 import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Step
 
 /** What the leading entry knows of one formation of a group. */
 internal class GroupState(
@@ -18,6 +19,7 @@
     private var sampledRank: KnownTarget? = null
     private var counted: ChosenExperts? = null
     private var samplesWithoutPass = 0
+    private var lastStep: Step? = null
 
     /** Switch or check in progress. */
     var job: Job? = null
@@ -45,12 +47,18 @@
             return null
         }
         if (before == null || before.counts.size != chosen.counts.size) return null
-        samplesWithoutPass = if (chosen.step == before.step) samplesWithoutPass + 1 else 0
+        reached(chosen.step)
         val delta = chosen.counts.indices.map { chosen.counts[it] - before.counts[it] }
         // Counts that went down are those of a rank that has started anew.
         return delta.takeIf { counts -> counts.all { it >= 0 } }
     }
 
+    /** Notes the last pass of the group; one that stays the same may mean that it is held. */
+    fun reached(step: Step) {
+        samplesWithoutPass = if (step == lastStep) samplesWithoutPass + 1 else 0
+        lastStep = step
+    }
+
     /** Notes that the reports showed neither a hold nor an armed map. */
     fun checked() {
         isChecked = true
