Send callers to few entries, read counts when pauses grow, and refuse during the start

Callers now use three entries a data centre or one for 32 places; the others stand by and beat once a second. - Half of the map switches corrected the one before: counts of one rank are the topics of a few prompts. Counts of four ranks are now read when the pauses of streams show a slow group. Choices move by 0.07 to 0.18 between reads without a shift and by 0.41 to 0.62 after one. - Right after a shift six streams a rank pause for 125 ms, over the goal of 120. A rank takes five, and a sixth only for a request that has waited 150 ms. - After the loss of all entries callers met refused connections for three seconds. Until the store is read they get a refusal with the time to return, calls to a silent store end after 0.4 s, and a start loads fewer classes.

Taken back: holding the group while copies load. Ruled out: placement by fewer entries as the cause, the ranks were as full as before. PlatformPathTest found that a closed listener frees its port late; the entry now repeats the listen.

--- a/core/src/main/kotlin/org/vanilladale/core/gateway/CallerAddresses.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/CallerAddresses.kt
@@ -25,16 +25,19 @@
      *
      * [live] are the entries heard lately, this one included, and [lost] those that fell silent.
      * An entry that lost more than half of its peers is more likely to be cut off itself, so it
-     * names the lost ones as well: callers may reach them.
+     * names the lost ones as well: callers may reach them. Of the live ones only the [fronts] are
+     * named, those that take callers at all.
      */
     public fun choose(
         live: List<AddressCandidate>,
         lost: List<AddressCandidate>,
         near: DataCentreName?,
         random: Random,
+        fronts: Set<VmId> = live.mapTo(HashSet()) { it.vm },
     ): List<VmId> {
         val isCutOff = lost.size >= live.size
-        val known = if (isCutOff) live + lost else live
+        val named = live.filter { it.vm in fronts }
+        val known = if (isCutOff) named + lost else named
         val serving = known.filter { it.serving }.shuffled(random)
         val (close, far) = serving.partition { it.dataCentre == near }
         val chosen = if (close.size >= FEWEST_NEAR) close else close + far
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
@@ -50,7 +50,8 @@
         if (known != null && !isNewer(beat, known.beat)) return false
         peers.remove(beat.vm)?.let { add(it.beat, -1) }
         silent.remove(beat.vm)
-        peers[beat.vm] = PeerEntry(beat, now.deadlineAfter(silenceMilliseconds))
+        val silence = maxOf(silenceMilliseconds, MISSED_BEATS * beat.intervalMilliseconds)
+        peers[beat.vm] = PeerEntry(beat, now.deadlineAfter(silence))
         add(beat, 1)
         return true
     }
@@ -111,9 +112,12 @@
     }
 
     public companion object {
-        /** Four beats of an idle peer, so that a few lost datagrams are no silence. */
+        /** Shortest silence; a process that collects garbage or loads classes is not lost. */
         public const val DEFAULT_SILENCE_MILLISECONDS: Long = 1_000
 
+        /** Beats that may be missing in a row, so that a few lost datagrams are no silence. */
+        public const val MISSED_BEATS: Int = 4
+
         /** Bounds the memory for peers that never return. */
         private const val MOST_LOST = 512
     }
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetDirectory.kt
@@ -20,6 +20,9 @@
     /** Number of targets that are listed or within their grace. */
     public val size: Int get() = listed.size
 
+    /** Requests that all targets run at a time. */
+    public val places: Int get() = listed.values.sumOf { it.slots }
+
     /** What a whole list changed: targets that are [gone] and targets that were [changed]. */
     public data class Difference(val gone: List<TargetId>, val changed: List<KnownTarget>)
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -25,7 +25,9 @@
  *
  * All ranks of a group run each pass together, so a pass lasts as long as that of the fullest rank.
  * A request goes to the group whose passes stay shortest with it, there to the emptiest rank. A
- * rank takes only as many requests as keep the pauses between events under the route's goal.
+ * rank takes only as many requests as keep the pauses between events under the route's goal, with a
+ * reserve for passes that grow after a shift of the demand. A request whose first event would come
+ * too late otherwise is urgent and may use most of that reserve.
  */
 public class TargetPlacement(private val random: Random) {
     private class Group(val members: List<PlacementCandidate>) {
@@ -33,11 +35,12 @@
         var limit = 0
     }
 
-    /** Returns the chosen candidate, or null when none has a free place. */
+    /** Returns the chosen candidate, or null when none has a free place for such a request. */
     public fun chooseOrNull(
         candidates: List<PlacementCandidate>,
         engine: EngineProfile?,
         gapGoalMilliseconds: Long,
+        isUrgent: Boolean = false,
     ): PlacementCandidate? {
         val reachable = candidates.filter { !it.avoided && !it.target.isInClosedGroup }
         val sound = reachable.filter { it.failures < SUSPECT_FAILURES }
@@ -45,7 +48,12 @@
         return if (engine == null) {
             leastLoadedOrNull(preferred)
         } else {
-            inGroupsOrNull(preferred, candidates, engine, gapGoalMilliseconds)
+            val reserve = if (isUrgent) URGENT_RESERVE else SHIFT_RESERVE
+            inGroupsOrNull(
+                preferred,
+                groupsOf(candidates, engine, gapGoalMilliseconds, reserve),
+                engine,
+            )
         }
     }
 
@@ -57,11 +65,22 @@
     ): Int = if (engine == null) {
         candidates.sumOf { it.target.slots }
     } else {
-        groupsOf(candidates, engine, gapGoalMilliseconds).values.sumOf {
+        groupsOf(candidates, engine, gapGoalMilliseconds, URGENT_RESERVE).values.sumOf {
             it.limit * it.members.size
         }
     }
 
+    /**
+     * Returns how much longer than modelled the passes of [members], ranks of one group, last; they
+     * do while demand is uneven or a rank is slow.
+     */
+    public fun slowdown(members: List<PlacementCandidate>, engine: EngineProfile): Double {
+        val gaps = members.mapNotNull { it.gapMilliseconds }
+        if (gaps.isEmpty()) return 1.0
+        val modelled = engine.passMilliseconds(members.maxOf { it.running }.coerceAtLeast(1))
+        return (gaps.average() / modelled).coerceIn(1.0, MOST_SLOWDOWN)
+    }
+
     private fun leastLoadedOrNull(candidates: List<PlacementCandidate>): PlacementCandidate? =
         candidates.filter { it.running < limitOf(it) }
             .shuffled(random)
@@ -76,11 +95,9 @@
 
     private fun inGroupsOrNull(
         preferred: List<PlacementCandidate>,
-        all: List<PlacementCandidate>,
+        groups: Map<Any, Group>,
         engine: EngineProfile,
-        gapGoalMilliseconds: Long,
     ): PlacementCandidate? {
-        val groups = groupsOf(all, engine, gapGoalMilliseconds)
         val usable = preferred.filter { it.running < groups.getValue(groupKey(it)).limit }
         return usable.shuffled(random).minByOrNull { candidate ->
             val group = groups.getValue(groupKey(candidate))
@@ -95,24 +112,22 @@
         candidates: List<PlacementCandidate>,
         engine: EngineProfile,
         gapGoalMilliseconds: Long,
+        reserve: Double,
     ): Map<Any, Group> = candidates.groupBy(::groupKey).mapValues { (_, members) ->
         Group(members).apply {
-            slowdown = slowdownOf(members, engine)
-            limit = limitOf(engine, slowdown, gapGoalMilliseconds)
+            slowdown = slowdown(members, engine)
+            limit = limitOf(engine, slowdown, gapGoalMilliseconds, reserve)
         }
     }
 
-    /** Passes last longer than the model says while demand is uneven or a rank is slow. */
-    private fun slowdownOf(members: List<PlacementCandidate>, engine: EngineProfile): Double {
-        val gaps = members.mapNotNull { it.gapMilliseconds }
-        if (gaps.isEmpty()) return 1.0
-        val modelled = engine.passMilliseconds(members.maxOf { it.running }.coerceAtLeast(1))
-        return (gaps.average() / modelled).coerceIn(1.0, MOST_SLOWDOWN)
-    }
-
-    private fun limitOf(engine: EngineProfile, slowdown: Double, gapGoalMilliseconds: Long): Int {
+    private fun limitOf(
+        engine: EngineProfile,
+        slowdown: Double,
+        gapGoalMilliseconds: Long,
+        reserve: Double,
+    ): Int {
         if (gapGoalMilliseconds <= 0) return engine.slots
-        val allowed = gapGoalMilliseconds * minOf(GAP_SHARE / slowdown, 1 / SHIFT_RESERVE)
+        val allowed = gapGoalMilliseconds * minOf(GAP_SHARE / slowdown, 1 / reserve)
         val most = (1..engine.slots).lastOrNull { engine.passMilliseconds(it) <= allowed }
         // Where even one request misses the goal, fewer requests would not help any of them.
         return most ?: engine.slots
@@ -135,7 +150,10 @@
          * Slowdown of passes right after a shift of the demand. Streams that run then last on, so
          * a rank takes only as many as keep their pauses until the experts have moved.
          */
-        public const val SHIFT_RESERVE: Double = 2.3
+        public const val SHIFT_RESERVE: Double = 2.6
+
+        /** Slowdown that is left room for when a request can't wait any longer. */
+        public const val URGENT_RESERVE: Double = 2.3
 
         private const val MOST_SLOWDOWN = 20.0
         private const val NEAR_BONUS = 0.1
--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/DemandWatch.kt
@@ -0,0 +1,36 @@
+package org.vanilladale.core.groupswitch
+
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Timestamp
+
+/**
+ * Decides when the counts of a pool's ranks are read; answers shifts of the demand at the least
+ * cost.
+ *
+ * Each read of counts is priced and pauses a group, but the pauses between the events of its
+ * streams tell for nothing whether a group is slow. So counts are read while some group is slow,
+ * and less often when that led to no better map: the cause is another one then.
+ */
+public class DemandWatch(now: Timestamp) {
+    private var quietUntil: Deadline = now.deadlineAfter(0)
+
+    /** Returns true when counts are to be read at a [slowdown] of the slowest group. */
+    public fun isDue(slowdown: Double, now: Timestamp): Boolean =
+        slowdown >= SLOW && quietUntil.hasPassed(now)
+
+    /** Notes that counts were read, and whether they led to a [betterMap]. */
+    public fun wasRead(betterMap: Boolean, now: Timestamp) {
+        quietUntil = now.deadlineAfter(if (betterMap) SWITCH_MILLISECONDS else REST_MILLISECONDS)
+    }
+
+    public companion object {
+        /** Passes over the modelled ones; reading prompts alone makes up to a fifth. */
+        public const val SLOW: Double = 1.4
+
+        /** Until a switch that follows has shown in the pauses of streams. */
+        public const val SWITCH_MILLISECONDS: Long = 1_200
+
+        /** Wait after counts that led to no better map. */
+        public const val REST_MILLISECONDS: Long = 500
+    }
+}
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
@@ -73,4 +73,11 @@
         view.expire(at(1_500))
         expectThat(view.highestTablesRevision).isNull()
     }
+
+    @Test
+    fun `a peer that beats rarely is silent only after several of its beats`() {
+        view.heard(beat("vm-1", 1).copy(intervalMilliseconds = 1_500), at(0))
+        expectThat(view.expire(at(5_999))).hasSize(0)
+        expectThat(view.expire(at(6_000))).hasSize(1)
+    }
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/FrontEntriesTest.kt
@@ -0,0 +1,52 @@
+package org.vanilladale.core.gateway
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.schema.DataCentreName
+import org.vanilladale.schema.VmId
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+class FrontEntriesTest {
+    private fun entries(dataCentre: String, count: Int) = List(count) {
+        AddressCandidate(VmId.parse("$dataCentre-$it"), DataCentreName.parse(dataCentre), true)
+    }
+
+    private fun choose(serving: List<AddressCandidate>, places: Int) =
+        FrontEntries.choose(serving, places).map { it.text }
+
+    @Test
+    fun `a small load is taken by a few entries of each data centre`() {
+        val chosen = choose(entries("a", 7) + entries("b", 7), places = 100)
+        expectThat(chosen).containsExactlyInAnyOrder("a-4", "a-5", "a-6", "b-4", "b-5", "b-6")
+    }
+
+    @Test
+    fun `more places at targets need more entries`() {
+        val serving = entries("a", 9) + entries("b", 9) + entries("c", 9)
+        expectThat(choose(serving, places = 15 * FrontEntries.PLACES_OF_ENTRY)).hasSize(15)
+        expectThat(choose(serving, places = 1_000_000)).hasSize(27)
+    }
+
+    @Test
+    fun `the loss of entries brings in those that stood by`() {
+        val all = entries("a", 7)
+        val lost = FrontEntries.choose(all, 1)
+        expectThat(choose(all.filter { it.vm !in lost }, 1))
+            .containsExactlyInAnyOrder("a-1", "a-2", "a-3")
+    }
+
+    @Test
+    fun `entries that know the same peers in another order choose the same`() {
+        val serving = entries("a", 6) + entries("b", 5)
+        expectThat(FrontEntries.choose(serving.reversed(), 50))
+            .isEqualTo(FrontEntries.choose(serving, 50))
+    }
+
+    @Test
+    fun `nobody is chosen of nobody`() {
+        expectThat(choose(emptyList(), 50)).isEmpty()
+    }
+}
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/TargetPlacementTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/TargetPlacementTest.kt
@@ -48,6 +48,19 @@
         expectThat(pause).isLessThanOrEqualTo(GAP_GOAL.toDouble())
     }
 
+    @Test
+    fun `a request that has waited may use more of the reserve for a shift`() {
+        val limit = (1..engine.slots).last {
+            engine.passMilliseconds(it) * TargetPlacement.SHIFT_RESERVE <= GAP_GOAL
+        }
+        val full = group("g", List(8) { limit })
+        expectThat(choose(full)).isNull()
+        val placed = placement.chooseOrNull(full, engine, GAP_GOAL, isUrgent = true)
+        expectThat(placed).isNotNull()
+        val pause = engine.passMilliseconds(limit + 1) * TargetPlacement.URGENT_RESERVE
+        expectThat(pause).isLessThanOrEqualTo(GAP_GOAL.toDouble())
+    }
+
     @Test
     fun `ranks of a broken group and targets that fail or can't be reached are used last`() {
         val broken = candidate(target("a", seat = seat("g", 0, open = false)))
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/groupswitch/ExpertDemandTest.kt
@@ -0,0 +1,48 @@
+package org.vanilladale.core.groupswitch
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+class ExpertDemandTest {
+    private val demand = ExpertDemand(sets = 1, experts = 4)
+
+    private fun counts(vararg shares: Int) = shares.map { it * 100L }
+
+    private fun shareOfFirst() = demand.shares?.single()?.first()
+
+    @Test
+    fun `the first counts are taken as they are`() {
+        expectThat(demand.takeOrNull(counts(40, 30, 20, 10))).isEqualTo(1.0)
+        expectThat(shareOfFirst()).isEqualTo(0.4)
+    }
+
+    @Test
+    fun `too few choices and those of other sets change nothing`() {
+        expectThat(demand.takeOrNull(listOf(1L, 2L, 3L, 4L))).isNull()
+        expectThat(demand.takeOrNull(counts(40, 30, 20, 10, 40, 30, 20, 10))).isNull()
+        expectThat(demand.shares).isNull()
+    }
+
+    @Test
+    fun `counts that differ as single requests do are mixed in`() {
+        demand.takeOrNull(counts(40, 30, 20, 10))
+        expectThat(demand.takeOrNull(counts(50, 25, 17, 8)))
+            .isNotNull()
+            .isLessThan(ExpertDemand.SHIFT_DISTANCE)
+        expectThat(shareOfFirst()).isNotNull().isGreaterThan(0.4).isLessThan(0.5)
+    }
+
+    @Test
+    fun `after a shift nothing of the demand before it is left`() {
+        demand.takeOrNull(counts(60, 20, 10, 10))
+        expectThat(demand.takeOrNull(counts(10, 10, 10, 70)))
+            .isNotNull()
+            .isGreaterThan(ExpertDemand.SHIFT_DISTANCE)
+        expectThat(shareOfFirst()).isEqualTo(0.1)
+    }
+}
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -15,15 +15,12 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.json.Json
 import org.tinylog.kotlin.Logger
 import org.vanilladale.core.gateway.CallerLimits
 import org.vanilladale.core.gateway.CallerRequestId
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
-import org.vanilladale.core.refusal.status
 import org.vanilladale.schema.Deadline
-import org.vanilladale.schema.RefusalAnswer
 import org.vanilladale.schema.SocketAddressText
 import org.vanilladale.schema.Timestamp
 
@@ -35,6 +32,7 @@
     val admission: RequestAdmission,
     val forwarder: () -> Forwarder,
     val stop: CallerStop,
+    val refusals: RefusalWriter,
     val log: GatewayLog,
     val metrics: GatewayMetrics,
     val clock: () -> Timestamp,
@@ -185,7 +183,7 @@
 
         fun refuse(refusal: Refusal) {
             if (ended) return
-            parts.metrics.counters.refused(refusal.reason)
+            parts.refusals.count(refusal)
             if (answer.started) cut(refusal) else writeRefusal(refusal)
         }
 
@@ -202,29 +200,8 @@
             answer.cut()
         }
 
-        private fun writeRefusal(refusal: Refusal) {
-            val now = parts.clock()
-            parts.log.log(
-                GatewayEvent.Refused(
-                    id?.text,
-                    refusal.reason.code,
-                    refusal.status,
-                    refusal.run.code,
-                    refusal.detail,
-                    refusal.retryAt?.millisecondsLeft(now),
-                    now.millisecondsSince(arrivedAt),
-                    revision,
-                ),
-            )
-            val response = request.response().setStatusCode(refusal.status)
-            response.headers().addAll(parts.dialect.writeRefusal(refusal, id, now))
-            response.putHeader("content-type", "application/json")
-            // The rest of an unread body would be taken for the next request.
-            if (!request.isEnded) response.putHeader("connection", "close")
-            val reason = refusal.reason
-            val text = RefusalAnswer(reason.code, refusal.run, reason.remedy, refusal.retryAt)
-            response.end(Json.encodeToString(RefusalAnswer.serializer(), text))
-        }
+        private fun writeRefusal(refusal: Refusal) =
+            parts.refusals.write(request, RefusalWriter.Subject(id, arrivedAt, revision), refusal)
 
         fun callerLeft() {
             if (ended) return
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
@@ -11,6 +11,8 @@
 import org.vanilladale.core.gateway.GatewayPool
 import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.groupswitch.ChangeLimits
+import org.vanilladale.core.groupswitch.DemandWatch
+import org.vanilladale.core.groupswitch.ExpertDemand
 import org.vanilladale.core.groupswitch.GroupPlanner
 import org.vanilladale.core.groupswitch.GroupProposal
 import org.vanilladale.core.placement.ExpertMap
@@ -24,11 +26,13 @@
  * at a rank that the other has touched.
  *
  * @param groups open groups of a pool with all their members, in the order of their ranks
+ * @param slowdown how much longer than modelled the passes of some ranks of a pool last
  */
 internal class ExpertMover(
     private val port: RankPort,
     private val pools: () -> List<GatewayPool>,
     private val groups: (GatewayPool) -> Map<GroupId, List<KnownTarget>>,
+    private val slowdown: (GatewayPool, List<KnownTarget>) -> Double,
     private val leads: () -> Boolean,
     private val log: GatewayLog,
     private val clock: () -> Timestamp,
@@ -37,16 +41,17 @@
     private val planner = GroupPlanner()
     private val states = HashMap<GroupId, GroupState>()
     private val holder = random.nextInt(Int.MAX_VALUE)
+    private val watch = DemandWatch(clock())
     private var leading = false
-    private var turn = 0
+    private var reportsDue = clock().deadlineAfter(0)
 
-    /** Share of each expert by set; null before the first sample. */
-    private var demand: List<List<Double>>? = null
+    /** What the requests choose; null before the first counts. */
+    private var demand: ExpertDemand? = null
 
     /** Watches the demand and moves experts until [scope] ends. */
     suspend fun run(scope: CoroutineScope) {
         while (true) {
-            delay(SAMPLE_MILLISECONDS)
+            delay(LOOK_MILLISECONDS)
             val pool = pools().firstOrNull { it.engine?.experts != null }
             if (pool == null || !leads()) {
                 lay(pool)
@@ -58,7 +63,16 @@
                 // The entry that led before may be in the middle of a switch.
                 delay(TAKE_OVER_MILLISECONDS)
             }
-            sample(scope, pool)
+            val profile = checkNotNull(pool.engine?.experts) { "Only pools with experts are led" }
+            val current = formations(pool, profile)
+            readReports(current)
+            current.filter { it.isIdle && it.needsCheck }.forEach { idle ->
+                idle.job = scope.launch { check(idle, switchOf(idle)) }
+            }
+            if (readDemand(pool, profile, current)) {
+                val isBetter = current.map { plan(scope, it, profile) }.any { it }
+                watch.wasRead(isBetter, clock())
+            }
         }
     }
 
@@ -67,50 +81,73 @@
         leading = false
         demand = null
         log.log(GatewayEvent.ExpertLead(pool?.name?.text.orEmpty(), false))
-        states.values.removeIf { it.job?.isActive != true }
+        states.values.removeIf { it.isIdle }
     }
 
-    private suspend fun sample(scope: CoroutineScope, pool: GatewayPool) {
-        val profile = checkNotNull(pool.engine?.experts) { "Only pools with experts are sampled" }
+    private fun formations(pool: GatewayPool, profile: ExpertProfile): List<GroupState> {
         val members = groups(pool)
         states.keys.removeIf { it !in members }
-        val current = members.map { (group, ranks) ->
+        return members.map { (group, ranks) ->
             val epoch = checkNotNull(ranks.first().seat) { "Members have seats" }.epoch
             states[group]?.takeIf { it.epoch == epoch && it.ranks == ranks }
                 ?: GroupState(group, epoch, ranks, profile).also { states[group] = it }
         }
-        // The groups of a pool serve the same demand, so one of them tells for all.
-        val state = current.getOrNull(turn % current.size.coerceAtLeast(1)) ?: return
-        val chosen = port.chosen(state.sampled(random))
-        if (chosen == null) turn++
-        state.observe(chosen)?.let { demand = follow(it, profile) }
-        // A report costs far less than counts and shows as well whether a group stands still.
-        current.filter { it !== state }.forEach { other ->
-            port.report(other.sampled(random))?.let { other.reached(it.step) }
-        }
-        current.filter { it.job?.isActive != true }.forEach { idle ->
-            idle.job = scope.launch { tend(idle, profile) }
-        }
     }
 
-    private suspend fun tend(state: GroupState, profile: ExpertProfile) {
-        val switch = MapSwitch(
-            port,
-            state.ranks,
-            state.epoch,
-            state.ranks[holder % state.ranks.size],
-            clock,
-            ::newVersion,
-        ) { state.maps ?: readMaps(state) }
-        if (state.needsCheck) {
-            check(state, switch, if (state.isChecked) "no passes" else "maps not known")
-            return
+    /** Reads one report of each group, which shows whether it stands still. */
+    private suspend fun readReports(current: List<GroupState>) {
+        if (!reportsDue.hasPassed(clock())) return
+        reportsDue = clock().deadlineAfter(REPORT_MILLISECONDS)
+        current.forEach { state ->
+            val report = port.report(state.reporter(random))
+            if (report == null) state.missed() else state.reached(report.step)
         }
-        val tokens = demand ?: return
+    }
+
+    /** Reads counts when some group is slow; true when the demand is known better after that. */
+    private suspend fun readDemand(
+        pool: GatewayPool,
+        profile: ExpertProfile,
+        current: List<GroupState>,
+    ): Boolean {
+        val slowest = current.maxOfOrNull { slowdown(pool, it.ranks) } ?: return false
+        if (!watch.isDue(slowest, clock())) return false
+        val known = demand ?: ExpertDemand(profile.sets, profile.experts).also { demand = it }
+        val moved = sampleChoices(current)?.let(known::takeOrNull)
+        log.log(GatewayEvent.ExpertDemandRead(pool.name.text, slowest, moved))
+        if (moved == null) watch.wasRead(betterMap = false, clock())
+        return moved != null
+    }
+
+    /** Plans better maps for a group that is at rest; true when it is switched or about to be. */
+    private fun plan(scope: CoroutineScope, state: GroupState, profile: ExpertProfile): Boolean {
+        if (!state.isIdle) return true
+        val tokens = demand?.shares ?: return false
+        val maps = state.maps ?: return false
         val limits = ChangeLimits(profile.copiesAtOnce)
-        val maps = state.maps ?: return
-        val proposal = planner.planOrNull(maps, tokens, limits, clock()) ?: return
-        change(state, switch, proposal, profile)
+        val proposal = planner.planOrNull(maps, tokens, limits, clock()) ?: return false
+        state.job = scope.launch { change(state, switchOf(state), proposal, profile) }
+        return true
+    }
+
+    private fun switchOf(state: GroupState) = MapSwitch(
+        port,
+        state.ranks,
+        state.epoch,
+        state.ranks[holder % state.ranks.size],
+        clock,
+        ::newVersion,
+    ) { state.maps ?: readMaps(state) }
+
+    /** Returns what some ranks choose from now on for a short time, or null without an answer. */
+    private suspend fun sampleChoices(states: List<GroupState>): List<Long>? = coroutineScope {
+        val ranks = states.flatMap { it.ranks }.shuffled(random).take(RANKS_SAMPLED)
+        val before = ranks.map { async { port.chosen(it) } }.awaitAll()
+        delay(SAMPLE_MILLISECONDS)
+        val after = ranks.map { async { port.chosen(it) } }.awaitAll()
+        before.zip(after) { first, last -> first?.let { last?.since(it) } }
+            .filterNotNull()
+            .reduceOrNull { sum, counts -> sum.zip(counts, Long::plus) }
     }
 
     private fun copyMilliseconds(proposal: GroupProposal, profile: ExpertProfile): Long =
@@ -143,7 +180,8 @@
     }
 
     /** Reads the reports; frees the group from a switch left half done, or learns its maps. */
-    private suspend fun check(state: GroupState, switch: MapSwitch, cause: String) {
+    private suspend fun check(state: GroupState, switch: MapSwitch) {
+        val cause = if (state.isChecked) "no passes" else "maps not known"
         val reports = switch.reports() ?: return
         if (reports.values.any { !it.isClean }) {
             recover(state, switch, cause)
@@ -179,23 +217,12 @@
         return if (byTime > above) byTime else above + 1 + random.nextLong(VERSIONS_A_MILLISECOND)
     }
 
-    /** Mixes what was chosen since the last sample into the shares of the experts of each set. */
-    private fun follow(delta: List<Long>, profile: ExpertProfile): List<List<Double>>? {
-        val sets = delta.map { it.toDouble() }.chunked(profile.experts)
-        if (sets.size != profile.sets || sets.any { it.sum() < LEAST_CHOICES }) return demand
-        val before = demand
-        return sets.mapIndexed { set, tokens ->
-            val total = tokens.sum()
-            tokens.mapIndexed { expert, count ->
-                val share = count / total
-                if (before == null) share else share + KEPT * (before[set][expert] - share)
-            }
-        }
-    }
-
     private companion object {
-        /** Reads are priced, and demand shifts every few seconds on the days with shifts. */
-        const val SAMPLE_MILLISECONDS = 300L
+        /** Half a pass of a busy group. */
+        const val LOOK_MILLISECONDS = 50L
+
+        /** A group that stands still shows within three reports. */
+        const val REPORT_MILLISECONDS = 300L
 
         /** A switch in progress ends within this time once its copies are loaded. */
         const val TAKE_OVER_MILLISECONDS = 700L
@@ -203,10 +230,10 @@
         /** Numbers of 53 bits pass through any JSON library. */
         const val VERSIONS_A_MILLISECOND = 4_000L
 
-        /** Choices of a set in one sample from which its shares are certain enough. */
-        const val LEAST_CHOICES = 2_000.0
+        /** A few passes of a busy group, so that each sampled rank has begun some requests. */
+        const val SAMPLE_MILLISECONDS = 160L
 
-        /** Weight of earlier samples: evens out single requests, yet follows a shift at once. */
-        const val KEPT = 0.35
+        /** Single requests of one rank would mislead; each read is priced. */
+        const val RANKS_SAMPLED = 4
     }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -9,6 +9,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import io.vertx.kotlin.coroutines.dispatcher
 import java.lang.management.ManagementFactory
+import java.net.BindException
 import java.util.concurrent.atomic.AtomicLong
 import java.util.function.Supplier
 import kotlin.random.Random
@@ -19,7 +20,9 @@
 import org.vanilladale.core.gateway.AddressCandidate
 import org.vanilladale.core.gateway.CallerAddresses
 import org.vanilladale.core.gateway.FleetView
+import org.vanilladale.core.gateway.FrontEntries
 import org.vanilladale.core.gateway.GatewayTables
+import org.vanilladale.core.gateway.PeerEntry
 import org.vanilladale.core.gateway.TargetDirectory
 import org.vanilladale.core.membership.entryIncarnation
 import org.vanilladale.core.shard.Locked
@@ -33,6 +36,7 @@
 import org.vanilladale.schema.GatewaySettings
 import org.vanilladale.schema.SocketAddressText
 import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.VmId
 
 /** Parts of a gateway that a deployment supplies; see [gateway]. */
 public class GatewayBuilder internal constructor() {
@@ -74,6 +78,7 @@
     private val lines = EventLog(parts.write, { counters.event("log-line-dropped") })
     private val log = GatewayLog(settings.vm, lines, clock)
     private val metrics = GatewayMetrics(counters)
+    private val refusals = RefusalWriter(dialect, log, metrics, clock)
     private val incarnation = entryIncarnation(clock(), random)
     private val sequence = AtomicLong()
     private val directory = Locked(TargetDirectory())
@@ -90,6 +95,7 @@
         parts.ranks(vertx),
         { knowledge.tables?.pools?.toList().orEmpty() },
         { pool -> directory.use { it.openGroups(pool.name) } },
+        dispatcher::slowdown,
         ::leadsExperts,
         log,
         clock,
@@ -101,14 +107,18 @@
 
     private val beats: PeerBeats = PeerBeats(
         vertx,
-        peerAddress(settings.ip),
-        { seeds },
+        BeatingEntry(
+            settings.vm,
+            peerAddress(settings.ip),
+            { seeds },
+            ::hurriedEntries,
+            ::composeBeat,
+        ),
         fleet,
         counters,
         log,
         clock,
         random,
-        ::composeBeat,
         ::heardPeer,
     )
 
@@ -133,11 +143,14 @@
     /** True while callers may be sent here. */
     public val isReady: Boolean get() = serves && plannedStop.leavingOrNull == null
 
-    /** Reads the store, joins the peers and serves callers. */
+    /** Joins the peers, reads the store and serves callers; until then it refuses them. */
     public suspend fun start() {
         beats.start(scope)
         scope.launch { follower.run(scope) }
+        val starting =
+            StartingServer(vertx, dialect, refusals, clock).listen(settings.callerAddress)
         while (knowledge.tables == null || !knowledge.hasTargets) delay(START_POLL_MILLISECONDS)
+        starting.close().coAwait()
         serveCallers(checkNotNull(knowledge.tables) { "The configuration was read above" })
         serves = true
         beats.send()
@@ -168,19 +181,16 @@
 
     /** Returns the entries that a caller in data centre [near] is to use. */
     public fun addressesFor(near: DataCentreName?): List<SocketAddressText> {
-        val self = AddressCandidate(settings.vm, settings.dataCentre, isReady)
-        val peers = fleet.use { view ->
-            view.live.toList() to view.lost.toList()
-        }
-        val addresses = (peers.first + peers.second)
+        val (live, lost) = fleet.use { view -> view.live.toList() to view.lost.toList() }
+        val addresses = (live + lost)
             .associate { it.beat.vm to callerAddress(it.beat.address.host) } +
             (settings.vm to settings.callerAddress)
         return CallerAddresses.choose(
-            peers.first.map { AddressCandidate(it.beat.vm, it.beat.dataCentre, it.isServing) } +
-                self,
-            peers.second.map { AddressCandidate(it.beat.vm, it.beat.dataCentre, it.isServing) },
+            live.map(::candidate) + ownCandidates(),
+            lost.map(::candidate),
             near,
             random,
+            frontEntries(),
         ).mapNotNull(addresses::get)
     }
 
@@ -192,12 +202,28 @@
             admission,
             ::createForwarder,
             stop,
+            refusals,
             log,
             metrics,
             clock,
         )
         val options = DeploymentOptions().setInstances(cores)
-        vertx.deployVerticle(Supplier { CallerServer(parts) }, options).coAwait()
+        whenPortIsFree {
+            vertx.deployVerticle(Supplier { CallerServer(parts) }, options).coAwait()
+        }
+    }
+
+    /** Repeats [listen] for a while: a closed listener frees its port some time after its close. */
+    private suspend fun whenPortIsFree(listen: suspend () -> Unit) {
+        val deadline = clock().deadlineAfter(MOST_LISTEN_MILLISECONDS)
+        while (true) {
+            try {
+                return listen()
+            } catch (taken: BindException) {
+                if (deadline.hasPassed(clock())) throw taken
+            }
+            delay(LISTEN_RETRY_MILLISECONDS)
+        }
     }
 
     private fun createForwarder(): Forwarder {
@@ -218,7 +244,29 @@
         PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS),
     )
 
-    private fun composeBeat(peers: List<SocketAddressText>) = EntryBeat(
+    /** Returns the entries that take callers, as far as this one knows. */
+    private fun frontEntries(): Set<VmId> {
+        val serving = fleet.use { view -> view.live.filter { it.isServing }.map(::candidate) }
+        return FrontEntries.choose(serving + ownCandidates(), directory.use { it.places })
+    }
+
+    /** Returns the entries that need news of the load at once: also the one that moves experts. */
+    private fun hurriedEntries(): Set<VmId> {
+        val leader = fleet.use { view -> view.live.filter { it.isServing }.map { it.beat.vm } }
+            .minByOrNull { it.text }
+        return frontEntries() + setOfNotNull(leader)
+    }
+
+    private fun ownCandidates() = if (isReady) {
+        listOf(AddressCandidate(settings.vm, settings.dataCentre, true))
+    } else {
+        emptyList()
+    }
+
+    private fun candidate(peer: PeerEntry) =
+        AddressCandidate(peer.beat.vm, peer.beat.dataCentre, peer.isServing)
+
+    private fun composeBeat(peers: List<SocketAddressText>, interval: Long) = EntryBeat(
         settings.vm,
         peerAddress(settings.ip),
         settings.dataCentre,
@@ -234,6 +282,7 @@
         dispatcher.shares(),
         dispatcher.waiting(),
         peers,
+        interval,
     )
 
     /** The serving entry with the first name leads; which one it is does not matter. */
@@ -278,6 +327,12 @@
         /** From the last answer to the end of the process. */
         const val EXIT_MILLISECONDS = 1_000L
         const val START_POLL_MILLISECONDS = 10L
+
+        /** The next turn of the event loop frees the port; a busy one takes some ms. */
+        const val LISTEN_RETRY_MILLISECONDS = 5L
+
+        /** After this time the port is another program's. */
+        const val MOST_LISTEN_MILLISECONDS = 2_000L
         const val MILLISECONDS = 1_000
 
         /** Places at targets bound the connections; this only bounds a fault in that. */
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -125,6 +125,15 @@
     @SerialName("expert-lead")
     public data class ExpertLead(val pool: String, val leads: Boolean) : GatewayEvent
 
+    /**
+     * What requests choose was read because a group was slow; [moved] is the part of the choices
+     * that moved to other experts, absent without usable counts.
+     */
+    @Serializable
+    @SerialName("expert-demand")
+    public data class ExpertDemandRead(val pool: String, val slowdown: Double, val moved: Double?) :
+        GatewayEvent
+
     /** A switch of a group's maps ended. */
     @Serializable
     @SerialName("map-switch")
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
@@ -16,14 +16,16 @@
     val ranks: List<KnownTarget>,
     private val profile: ExpertProfile,
 ) {
-    private var sampledRank: KnownTarget? = null
-    private var counted: ChosenExperts? = null
-    private var samplesWithoutPass = 0
+    private var reporter: KnownTarget? = null
+    private var reportsWithoutPass = 0
     private var lastStep: Step? = null
 
     /** Switch or check in progress. */
     var job: Job? = null
 
+    /** True unless a switch or check is in progress. */
+    val isIdle: Boolean get() = job?.isActive != true
+
     /** Maps in use by set; null while they are not known. */
     var maps: List<ExpertMap>? = null
         private set
@@ -32,37 +34,27 @@
     var isChecked = false
 
     /** True when the reports of the ranks have to be read first. */
-    val needsCheck: Boolean get() = !isChecked || samplesWithoutPass >= STUCK_SAMPLES
+    val needsCheck: Boolean get() = !isChecked || reportsWithoutPass >= STUCK_REPORTS
 
-    /** Returns the rank whose counts are read; another one after a read without an answer. */
-    fun sampled(random: Random): KnownTarget =
-        sampledRank ?: ranks.random(random).also { sampledRank = it }
+    /** Returns the rank whose reports are read; another one after a report that was missed. */
+    fun reporter(random: Random): KnownTarget =
+        reporter ?: ranks.random(random).also { reporter = it }
 
-    /** Takes the counts of the sampled rank; returns what was chosen since the last ones. */
-    fun observe(chosen: ChosenExperts?): List<Long>? {
-        val before = counted
-        counted = chosen
-        if (chosen == null || chosen.epoch != epoch) {
-            sampledRank = null
-            return null
-        }
-        if (before == null || before.counts.size != chosen.counts.size) return null
-        reached(chosen.step)
-        val delta = chosen.counts.indices.map { chosen.counts[it] - before.counts[it] }
-        // Counts that went down are those of a rank that has started anew.
-        return delta.takeIf { counts -> counts.all { it >= 0 } }
+    /** Notes that the reporter did not answer. */
+    fun missed() {
+        reporter = null
     }
 
     /** Notes the last pass of the group; one that stays the same may mean that it is held. */
     fun reached(step: Step) {
-        samplesWithoutPass = if (step == lastStep) samplesWithoutPass + 1 else 0
+        reportsWithoutPass = if (step == lastStep) reportsWithoutPass + 1 else 0
         lastStep = step
     }
 
     /** Notes that the reports showed neither a hold nor an armed map. */
     fun checked() {
         isChecked = true
-        samplesWithoutPass = 0
+        reportsWithoutPass = 0
     }
 
     /** Notes the maps that the group uses. */
@@ -85,7 +77,7 @@
     }
 
     private companion object {
-        /** Samples without a pass after which a group may be held; an idle one shows the same. */
-        const val STUCK_SAMPLES = 3
+        /** Reports without a pass after which a group may be held; an idle one shows the same. */
+        const val STUCK_REPORTS = 3
     }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/KnowledgeFollower.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/KnowledgeFollower.kt
@@ -38,18 +38,19 @@
     suspend fun run(scope: CoroutineScope) {
         while (true) {
             val from = position
-            if (from == null) take(store.read()) else take(watch(scope, from))
+            if (from == null) take(store.read(answerMilliseconds())) else take(watch(scope, from))
         }
     }
 
     private suspend fun watch(scope: CoroutineScope, from: Revision): StoreRead {
         while (hints.tryReceive().isSuccess) Unit
-        val answer = scope.async { store.watch(from, WATCH_MILLISECONDS) }
+        val answer =
+            scope.async { store.watch(from, WATCH_MILLISECONDS, answerMilliseconds()) }
         return select {
             answer.onAwait { it }
             hints.onReceive {
                 answer.cancel()
-                store.watch(from, 0)
+                store.watch(from, 0, answerMilliseconds())
             }
         }
     }
@@ -85,6 +86,10 @@
         log.log(GatewayEvent.Store("regained", position?.value))
     }
 
+    /** A store that does not answer is asked again soon; one that is slow gets more time. */
+    private fun answerMilliseconds(): Long =
+        LEAST_ANSWER_MILLISECONDS shl failures.coerceAtMost(MOST_ANSWER_DOUBLINGS)
+
     private suspend fun failed(read: StoreRead.Failed) {
         if (failures == 0) log.log(GatewayEvent.Store("lost", position?.value, read.reason))
         val wait = (LEAST_WAIT_MILLISECONDS shl failures.coerceAtMost(MOST_DOUBLINGS))
@@ -99,6 +104,12 @@
         /** A tenth of the time in which a change has to be in force. */
         const val BURST_MILLISECONDS = 150L
         const val LEAST_WAIT_MILLISECONDS = 100L
+
+        /** The store answers within some ms, and within a quarter of a second while it is slow. */
+        const val LEAST_ANSWER_MILLISECONDS = 400L
+
+        /** With 1.6 s the store is slower than all that depends on it can bear. */
+        const val MOST_ANSWER_DOUBLINGS = 2
         const val MOST_DOUBLINGS = 3
     }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -8,6 +8,8 @@
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.withTimeoutOrNull
 import org.vanilladale.core.gateway.FleetView
+import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.gateway.PlacementCandidate
 import org.vanilladale.core.gateway.TargetDirectory
 import org.vanilladale.core.gateway.TargetOutcomes
@@ -102,6 +104,15 @@
         }.map { (name, state) -> PoolWaiting(name, state.waiting) }
     }.flatten()
 
+    /** Returns how much longer than modelled the passes of [ranks] last. */
+    fun slowdown(pool: GatewayPool, ranks: List<KnownTarget>): Double {
+        val engine = pool.engine ?: return 1.0
+        val ids = ranks.mapTo(HashSet()) { it.id }
+        return withPool(pool.name) {
+            slowdown(candidates(this, pool.name, clock()).filter { it.target.id in ids }, engine)
+        }
+    }
+
     /** Takes [waiter] out of its queue; returns the place that it got in the meantime. */
     @OptIn(ExperimentalCoroutinesApi::class)
     private fun withdraw(name: PoolName, waiter: Waiter): Place? = withPool(name) {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.vanilladale.core.admission.FairQueue
 import org.vanilladale.core.admission.QueuedRequest
+import org.vanilladale.core.gateway.EngineProfile
 import org.vanilladale.core.gateway.GatewayPool
 import org.vanilladale.core.gateway.HoldRule
 import org.vanilladale.core.gateway.KnownTarget
@@ -70,7 +71,7 @@
     fun admit(waiter: Waiter, now: Timestamp): Either<Refusal, Deadline> {
         val request = waiter.request
         if (waiting == 0) {
-            place(waiter, candidates(this, now))?.let {
+            place(waiter, candidates(this, now), now)?.let {
                 waiter.place.complete(it)
                 return request.deadline.right()
             }
@@ -108,7 +109,7 @@
             val next = head ?: nextOrNull(now) ?: return
             // A request for which there is no place yet keeps its turn.
             head = next
-            val place = place(next, candidates(this, now)) ?: return
+            val place = place(next, candidates(this, now), now) ?: return
             head = null
             next.place.complete(place)
         }
@@ -136,13 +137,18 @@
         }
     }
 
-    private fun place(waiter: Waiter, all: List<PlacementCandidate>): Place? {
+    /** Returns how much longer than modelled the passes of [members] last. */
+    fun slowdown(members: List<PlacementCandidate>, engine: EngineProfile): Double =
+        placement.slowdown(members, engine)
+
+    private fun place(waiter: Waiter, all: List<PlacementCandidate>, now: Timestamp): Place? {
         val request = waiter.request
         val untried = all.filter { it.target.id !in waiter.tried }
         val chosen = placement.chooseOrNull(
             untried,
             request.pool.engine,
             request.route.gapGoalMilliseconds,
+            isUrgent = request.arrivedAt.deadlineAfter(PATIENCE_MILLISECONDS).hasPassed(now),
         ) ?: return null
         running.merge(chosen.target.id, 1, Int::plus)
         return Place(chosen.target, chosen.running + 1)
@@ -169,6 +175,9 @@
         /** Time from the send to the first event or the answer of a target that has a place. */
         const val FIRST_ANSWER_MILLISECONDS = 180L
 
+        /** Wait after which the first event needs most of the rest of a usual goal of 500 ms. */
+        const val PATIENCE_MILLISECONDS = 150L
+
         /** Service time of a plain service before the first answer. */
         const val USUAL_SERVICE_MILLISECONDS = 30.0
         val NO_WORKSPACE = WorkspaceId.parse("-")
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/RankPort.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/RankPort.kt
@@ -7,7 +7,13 @@
 import org.vanilladale.schema.Step
 
 /** How often the requests of one rank chose each expert since it started, by set of layers. */
-public data class ChosenExperts(val epoch: Long, val step: Step, val counts: List<Long>)
+public data class ChosenExperts(val epoch: Long, val step: Step, val counts: List<Long>) {
+    /** Returns what was chosen since [before], or null when the rank started anew in between. */
+    public fun since(before: ChosenExperts): List<Long>? {
+        if (epoch != before.epoch || counts.size != before.counts.size) return null
+        return counts.zip(before.counts, Long::minus).takeIf { all -> all.all { it >= 0 } }
+    }
+}
 
 /** Experts that one rank holds by set of layers, and the version of the map that says so. */
 public data class HeldExperts(val epoch: Long, val version: Long, val bySet: List<List<Int>>)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/RefusalWriter.kt
@@ -0,0 +1,48 @@
+package org.vanilladale.gateway
+
+import io.vertx.core.http.HttpServerRequest
+import kotlinx.serialization.json.Json
+import org.vanilladale.core.gateway.CallerRequestId
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.status
+import org.vanilladale.schema.RefusalAnswer
+import org.vanilladale.schema.Timestamp
+
+/** Answers requests that the system refuses, and logs and counts why. */
+internal class RefusalWriter(
+    private val dialect: RequestDialect,
+    private val log: GatewayLog,
+    private val metrics: GatewayMetrics,
+    private val clock: () -> Timestamp,
+) {
+    /** A refused request: its [id], if it has one, and the configuration that decided it. */
+    class Subject(val id: CallerRequestId?, val arrivedAt: Timestamp, val revision: Long?)
+
+    /** Counts [refusal]. */
+    fun count(refusal: Refusal) = metrics.counters.refused(refusal.reason)
+
+    /** Answers [request] with [refusal]. */
+    fun write(request: HttpServerRequest, subject: Subject, refusal: Refusal) {
+        val now = clock()
+        log.log(
+            GatewayEvent.Refused(
+                subject.id?.text,
+                refusal.reason.code,
+                refusal.status,
+                refusal.run.code,
+                refusal.detail,
+                refusal.retryAt?.millisecondsLeft(now),
+                now.millisecondsSince(subject.arrivedAt),
+                subject.revision,
+            ),
+        )
+        val response = request.response().setStatusCode(refusal.status)
+        response.headers().addAll(dialect.writeRefusal(refusal, subject.id, now))
+        response.putHeader("content-type", "application/json")
+        // The rest of an unread body would be taken for the next request.
+        if (!request.isEnded) response.putHeader("connection", "close")
+        val reason = refusal.reason
+        val text = RefusalAnswer(reason.code, refusal.run, reason.remedy, refusal.retryAt)
+        response.end(Json.encodeToString(RefusalAnswer.serializer(), text))
+    }
+}
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/StorePort.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/StorePort.kt
@@ -38,11 +38,19 @@
 /** A target that was listed or changed, or one whose entry was removed ([target] is null). */
 public data class TargetChange(val id: TargetId, val target: KnownTarget?)
 
-/** Reads the platform's store. Neither function throws for a failure of the store. */
+/**
+ * Reads the platform's store. Neither function throws for a failure of the store.
+ *
+ * The store has `answerMilliseconds` for each call, or the call has failed.
+ */
 public interface StorePort {
     /** Reads everything. */
-    public suspend fun read(): StoreRead
+    public suspend fun read(answerMilliseconds: Long): StoreRead
 
     /** Waits for changes after [position], for [waitMilliseconds] at most. */
-    public suspend fun watch(position: Revision, waitMilliseconds: Long): StoreRead
+    public suspend fun watch(
+        position: Revision,
+        waitMilliseconds: Long,
+        answerMilliseconds: Long,
+    ): StoreRead
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/KnowledgeFollowerTest.kt
@@ -0,0 +1,71 @@
+package org.vanilladale.gateway
+
+import kotlin.random.Random
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.vanilladale.core.gateway.TargetDirectory
+import org.vanilladale.core.shard.Locked
+import org.vanilladale.runtime.EventLog
+import org.vanilladale.schema.Revision
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.VmId
+import strikt.api.expectThat
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class KnowledgeFollowerTest {
+    /** Leaves calls that begin before [backAt] without an answer; then answers in [answersIn]. */
+    private class SilentStore(
+        private val now: () -> Long,
+        private val backAt: Long,
+        private val answersIn: Long,
+    ) : StorePort {
+        override suspend fun read(answerMilliseconds: Long): StoreRead {
+            val isAnswered = now() >= backAt && answersIn < answerMilliseconds
+            delay(if (isAnswered) answersIn else answerMilliseconds)
+            return if (isAnswered) {
+                StoreRead.Snapshot(Revision(1), null, emptyList(), null)
+            } else {
+                StoreRead.Failed("no answer within $answerMilliseconds ms")
+            }
+        }
+
+        override suspend fun watch(
+            position: Revision,
+            waitMilliseconds: Long,
+            answerMilliseconds: Long,
+        ): StoreRead {
+            delay(waitMilliseconds)
+            return StoreRead.Changes(position, null, emptyList(), null)
+        }
+    }
+
+    private fun TestScope.knowledgeOf(store: StorePort): Knowledge {
+        val clock = { Timestamp.fromEpochMilliseconds(currentTime) }
+        val log = GatewayLog(VmId.parse("vm-0"), EventLog({}, {}), clock)
+        val knowledge = Knowledge(Locked(TargetDirectory()), log, clock) {}
+        val follower = KnowledgeFollower(store, knowledge, log, clock, Random(1))
+        backgroundScope.launch { follower.run(backgroundScope) }
+        return knowledge
+    }
+
+    @Test
+    fun `a start in a silent outage of the store knows the targets soon after its end`() = runTest {
+        val knowledge = knowledgeOf(SilentStore({ currentTime }, backAt = 200, answersIn = 5))
+        while (!knowledge.hasTargets) delay(10)
+        expectThat(currentTime).isLessThan(700)
+    }
+
+    @Test
+    fun `a store that is very slow gets the time that it needs`() = runTest {
+        val knowledge = knowledgeOf(SilentStore({ currentTime }, backAt = 0, answersIn = 1_400))
+        delay(10_000)
+        expectThat(knowledge.hasTargets).isTrue()
+    }
+}
