Free groups that a frozen leader left held, and let waiting requests use more places

Its deputy now frees such a group when three reports show no pass (ExpertMoverTest), and the leader beats as often as the entries that take callers. Requests that have waited may fill a rank until a slowdown of 1.7.

--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -71,12 +71,12 @@
     }
 
     /**
-     * Returns how much longer than modelled the passes of [members], ranks of one group, last; they
-     * do while demand is uneven or a rank is slow.
+     * Returns how much longer than modelled the passes of [members], ranks of one group, last, or
+     * null when none is seen. They do while demand is uneven or a rank is slow.
      */
-    public fun slowdown(members: List<PlacementCandidate>, engine: EngineProfile): Double {
+    public fun slowdownOrNull(members: List<PlacementCandidate>, engine: EngineProfile): Double? {
         val gaps = members.mapNotNull { it.gapMilliseconds }
-        if (gaps.isEmpty()) return 1.0
+        if (gaps.isEmpty()) return null
         val modelled = engine.passMilliseconds(members.maxOf { it.running }.coerceAtLeast(1))
         return (gaps.average() / modelled).coerceIn(1.0, MOST_SLOWDOWN)
     }
@@ -115,7 +115,7 @@
         reserve: Double,
     ): Map<Any, Group> = candidates.groupBy(::groupKey).mapValues { (_, members) ->
         Group(members).apply {
-            slowdown = slowdown(members, engine)
+            slowdown = slowdownOrNull(members, engine) ?: 1.0
             limit = limitOf(engine, slowdown, gapGoalMilliseconds, reserve)
         }
     }
@@ -152,8 +152,11 @@
          */
         public const val SHIFT_RESERVE: Double = 2.6
 
-        /** Slowdown that is left room for when a request can't wait any longer. */
-        public const val URGENT_RESERVE: Double = 2.3
+        /**
+         * Slowdown that is left room for when a request can't wait any longer: the first event
+         * would be late for certain, a shift is not certain. Answers the return of many callers.
+         */
+        public const val URGENT_RESERVE: Double = 1.7
 
         private const val MOST_SLOWDOWN = 20.0
         private const val NEAR_BONUS = 0.1
--- a/core/src/main/kotlin/org/vanilladale/core/groupswitch/DemandWatch.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/DemandWatch.kt
@@ -14,9 +14,12 @@
 public class DemandWatch(now: Timestamp) {
     private var quietUntil: Deadline = now.deadlineAfter(0)
 
-    /** Returns true when counts are to be read at a [slowdown] of the slowest group. */
-    public fun isDue(slowdown: Double, now: Timestamp): Boolean =
-        slowdown >= SLOW && quietUntil.hasPassed(now)
+    /**
+     * Returns true when counts are to be read at a [slowdown] of the slowest group, or because the
+     * demand of the streams that run is not known at all.
+     */
+    public fun isDue(slowdown: Double, isKnown: Boolean, now: Timestamp): Boolean =
+        (slowdown >= SLOW || !isKnown) && quietUntil.hasPassed(now)
 
     /** Notes that counts were read, and whether they led to a [betterMap]. */
     public fun wasRead(betterMap: Boolean, now: Timestamp) {
@@ -24,13 +27,13 @@
     }
 
     public companion object {
-        /** Passes over the modelled ones; reading prompts alone makes up to a fifth. */
-        public const val SLOW: Double = 1.4
+        /** Passes over the modelled ones; reading prompts makes up to a fifth. */
+        public const val SLOW: Double = 1.25
 
         /** Until a switch that follows has shown in the pauses of streams. */
-        public const val SWITCH_MILLISECONDS: Long = 1_200
+        public const val SWITCH_MILLISECONDS: Long = 1_000
 
         /** Wait after counts that led to no better map. */
-        public const val REST_MILLISECONDS: Long = 500
+        public const val REST_MILLISECONDS: Long = 800
     }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
@@ -19,21 +19,33 @@
 import org.vanilladale.schema.GroupId
 import org.vanilladale.schema.Timestamp
 
+/** What an entry does about the experts of a pool. */
+internal enum class MoverRole {
+    NONE,
+
+    /** Frees groups that the leader left held; a freeze of the leader stops all streams of one. */
+    DEPUTY,
+
+    /** Moves experts. */
+    LEADER,
+}
+
 /**
  * Moves the experts of a pool's groups while this entry leads.
  *
- * The lead is a matter of cost only: two entries that both lead do no harm, since each switch stops
- * at a rank that the other has touched.
+ * The roles are a matter of cost only: two entries that both lead do no harm, since each switch
+ * stops at a rank that the other has touched.
  *
  * @param groups open groups of a pool with all their members, in the order of their ranks
- * @param slowdown how much longer than modelled the passes of some ranks of a pool last
+ * @param slowdownOrNull how much longer than modelled the passes of some ranks of a pool last; null
+ *   when no streams run
  */
 internal class ExpertMover(
     private val port: RankPort,
     private val pools: () -> List<GatewayPool>,
     private val groups: (GatewayPool) -> Map<GroupId, List<KnownTarget>>,
-    private val slowdown: (GatewayPool, List<KnownTarget>) -> Double,
-    private val leads: () -> Boolean,
+    private val slowdownOrNull: (GatewayPool, List<KnownTarget>) -> Double?,
+    private val role: () -> MoverRole,
     private val log: GatewayLog,
     private val clock: () -> Timestamp,
     private val random: Random,
@@ -53,29 +65,49 @@
         while (true) {
             delay(LOOK_MILLISECONDS)
             val pool = pools().firstOrNull { it.engine?.experts != null }
-            if (pool == null || !leads()) {
-                lay(pool)
-                continue
-            }
-            if (!leading) {
-                leading = true
-                log.log(GatewayEvent.ExpertLead(pool.name.text, true))
-                // The entry that led before may be in the middle of a switch.
-                delay(TAKE_OVER_MILLISECONDS)
-            }
-            val profile = checkNotNull(pool.engine?.experts) { "Only pools with experts are led" }
-            val current = formations(pool, profile)
-            readReports(current)
-            current.filter { it.isIdle && it.needsCheck }.forEach { idle ->
-                idle.job = scope.launch { check(idle, switchOf(idle)) }
-            }
-            if (readDemand(pool, profile, current)) {
-                val isBetter = current.map { plan(scope, it, profile) }.any { it }
-                watch.wasRead(isBetter, clock())
+            when (if (pool == null) MoverRole.NONE else role()) {
+                MoverRole.NONE -> lay(pool)
+
+                MoverRole.DEPUTY -> {
+                    lay(pool)
+                    pool?.let { watchOver(scope, it) }
+                }
+
+                MoverRole.LEADER -> pool?.let { lead(scope, it) }
             }
         }
     }
 
+    private suspend fun watchOver(scope: CoroutineScope, pool: GatewayPool) {
+        val current = formations(pool)
+        readReports(current)
+        current.filter { it.isIdle && it.standsStill }.forEach { still ->
+            still.job = scope.launch { free(still, switchOf(still)) }
+        }
+    }
+
+    private suspend fun lead(scope: CoroutineScope, pool: GatewayPool) {
+        if (!leading) {
+            leading = true
+            log.log(GatewayEvent.ExpertLead(pool.name.text, true))
+            // The entry that led before may be in the middle of a switch.
+            delay(TAKE_OVER_MILLISECONDS)
+        }
+        val current = formations(pool)
+        readReports(current)
+        current.filter { it.isIdle && it.needsCheck }.forEach { idle ->
+            idle.job = scope.launch { check(idle, switchOf(idle)) }
+        }
+        val profile = profileOf(pool)
+        if (readDemand(pool, profile, current)) {
+            val isBetter = current.map { plan(scope, it, profile) }.any { it }
+            watch.wasRead(isBetter, clock())
+        }
+    }
+
+    private fun profileOf(pool: GatewayPool): ExpertProfile =
+        checkNotNull(pool.engine?.experts) { "Only pools with experts have groups" }
+
     private fun lay(pool: GatewayPool?) {
         if (!leading) return
         leading = false
@@ -84,7 +116,8 @@
         states.values.removeIf { it.isIdle }
     }
 
-    private fun formations(pool: GatewayPool, profile: ExpertProfile): List<GroupState> {
+    private fun formations(pool: GatewayPool): List<GroupState> {
+        val profile = profileOf(pool)
         val members = groups(pool)
         states.keys.removeIf { it !in members }
         return members.map { (group, ranks) ->
@@ -110,8 +143,9 @@
         profile: ExpertProfile,
         current: List<GroupState>,
     ): Boolean {
-        val slowest = current.maxOfOrNull { slowdown(pool, it.ranks) } ?: return false
-        if (!watch.isDue(slowest, clock())) return false
+        val slowest =
+            current.mapNotNull { slowdownOrNull(pool, it.ranks) }.maxOrNull() ?: return false
+        if (!watch.isDue(slowest, demand?.shares != null, clock())) return false
         val known = demand ?: ExpertDemand(profile.sets, profile.experts).also { demand = it }
         val moved = sampleChoices(current)?.let(known::takeOrNull)
         log.log(GatewayEvent.ExpertDemandRead(pool.name.text, slowest, moved))
@@ -193,6 +227,16 @@
         state.checked()
     }
 
+    /** Frees a group that waits at a hold which nobody ends. */
+    private suspend fun free(state: GroupState, switch: MapSwitch) {
+        val reports = switch.reports() ?: return
+        val next = reports.values.maxOf { it.step.value } + 1
+        if (reports.values.any { it.heldAt?.value == next }) {
+            recover(state, switch, "held without passes, freed by the deputy")
+        }
+        state.rested()
+    }
+
     private suspend fun recover(state: GroupState, switch: MapSwitch, cause: String) {
         state.isChecked = false
         val recovered = switch.recover()
@@ -222,7 +266,7 @@
         const val LOOK_MILLISECONDS = 50L
 
         /** A group that stands still shows within three reports. */
-        const val REPORT_MILLISECONDS = 300L
+        const val REPORT_MILLISECONDS = 200L
 
         /** A switch in progress ends within this time once its copies are loaded. */
         const val TAKE_OVER_MILLISECONDS = 700L
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -95,8 +95,8 @@
         parts.ranks(vertx),
         { knowledge.tables?.pools?.toList().orEmpty() },
         { pool -> directory.use { it.openGroups(pool.name) } },
-        dispatcher::slowdown,
-        ::leadsExperts,
+        dispatcher::slowdownOrNull,
+        ::moverRole,
         log,
         clock,
         random,
@@ -252,8 +252,8 @@
 
     /** Returns the entries that need news of the load at once: also the one that moves experts. */
     private fun hurriedEntries(): Set<VmId> {
-        val leader = fleet.use { view -> view.live.filter { it.isServing }.map { it.beat.vm } }
-            .minByOrNull { it.text }
+        val serving = fleet.use { view -> view.live.filter { it.isServing }.map { it.beat.vm } }
+        val leader = (serving + ownCandidates().map { it.vm }).minByOrNull { it.text }
         return frontEntries() + setOfNotNull(leader)
     }
 
@@ -285,12 +285,17 @@
         interval,
     )
 
-    /** The serving entry with the first name leads; which one it is does not matter. */
-    private fun leadsExperts(): Boolean {
-        val serving = fleet.use { view ->
-            view.live.filter { it.isServing }.map { it.beat.vm.text }
+    /** The serving entry with the first name leads, the next one is its deputy. */
+    private fun moverRole(): MoverRole {
+        if (!isReady) return MoverRole.NONE
+        val before = fleet.use { view ->
+            view.live.count { it.isServing && it.beat.vm.text < settings.vm.text }
+        }
+        return when (before) {
+            0 -> MoverRole.LEADER
+            1 -> MoverRole.DEPUTY
+            else -> MoverRole.NONE
         }
-        return isReady && serving.all { it > settings.vm.text }
     }
 
     private fun heardPeer() {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
@@ -34,7 +34,10 @@
     var isChecked = false
 
     /** True when the reports of the ranks have to be read first. */
-    val needsCheck: Boolean get() = !isChecked || reportsWithoutPass >= STUCK_REPORTS
+    val needsCheck: Boolean get() = !isChecked || standsStill
+
+    /** True when no pass was begun for some reports; an idle group shows the same. */
+    val standsStill: Boolean get() = reportsWithoutPass >= STUCK_REPORTS
 
     /** Returns the rank whose reports are read; another one after a report that was missed. */
     fun reporter(random: Random): KnownTarget =
@@ -54,6 +57,11 @@
     /** Notes that the reports showed neither a hold nor an armed map. */
     fun checked() {
         isChecked = true
+        rested()
+    }
+
+    /** Notes that the group stands still for a good reason, or was freed. */
+    fun rested() {
         reportsWithoutPass = 0
     }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -104,12 +104,14 @@
         }.map { (name, state) -> PoolWaiting(name, state.waiting) }
     }.flatten()
 
-    /** Returns how much longer than modelled the passes of [ranks] last. */
-    fun slowdown(pool: GatewayPool, ranks: List<KnownTarget>): Double {
-        val engine = pool.engine ?: return 1.0
+    /** Returns how much longer than modelled the passes of [ranks] last; null when not seen. */
+    fun slowdownOrNull(pool: GatewayPool, ranks: List<KnownTarget>): Double? {
+        val engine = pool.engine ?: return null
         val ids = ranks.mapTo(HashSet()) { it.id }
         return withPool(pool.name) {
-            slowdown(candidates(this, pool.name, clock()).filter { it.target.id in ids }, engine)
+            val members =
+                candidates(this, pool.name, clock()).filter { it.target.id in ids }
+            slowdownOrNull(members, engine)
         }
     }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -137,9 +137,9 @@
         }
     }
 
-    /** Returns how much longer than modelled the passes of [members] last. */
-    fun slowdown(members: List<PlacementCandidate>, engine: EngineProfile): Double =
-        placement.slowdown(members, engine)
+    /** Returns how much longer than modelled the passes of [members] last; null when not seen. */
+    fun slowdownOrNull(members: List<PlacementCandidate>, engine: EngineProfile): Double? =
+        placement.slowdownOrNull(members, engine)
 
     private fun place(waiter: Waiter, all: List<PlacementCandidate>, now: Timestamp): Place? {
         val request = waiter.request
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/ExpertMoverTest.kt
@@ -0,0 +1,105 @@
+package org.vanilladale.gateway
+
+import kotlin.random.Random
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.vanilladale.core.gateway.EngineProfile
+import org.vanilladale.core.gateway.ExpertProfile
+import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.groupswitch.GroupSeat
+import org.vanilladale.core.groupswitch.OrderAnswer
+import org.vanilladale.core.groupswitch.RankOrder
+import org.vanilladale.runtime.EventLog
+import org.vanilladale.schema.GroupId
+import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.Rank
+import org.vanilladale.schema.Step
+import org.vanilladale.schema.Timestamp
+import org.vanilladale.schema.VmId
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class ExpertMoverTest {
+    private val groupId = GroupId.parse("g")
+    private val pool = GatewayPool(
+        PoolName.parse("model"),
+        EngineProfile(8, 4, 4.0, 1.0, 60_000.0, 800.0, 100.0, ExpertProfile(1, 4, 8, 4, 150.0)),
+    )
+
+    /** Orders and reports of [group], whose ranks know their seats. */
+    private class SeatedGroup(val group: SimulatedGroup, private val id: GroupId) :
+        RankPort by group {
+        val members = group.ranks.mapIndexed { rank, target ->
+            val size = group.ranks.size
+            target.copy(seat = GroupSeat(id, Rank(rank), size, SimulatedGroup.EPOCH, true))
+        }
+
+        override suspend fun held(rank: KnownTarget) =
+            HeldExperts(SimulatedGroup.EPOCH, 0, listOf(listOf(members.indexOf(rank))))
+
+        override suspend fun report(rank: KnownTarget) = group.report(rank.copy(seat = null))
+
+        override suspend fun order(rank: KnownTarget, order: RankOrder, epoch: Long) =
+            group.order(rank.copy(seat = null), order, epoch)
+    }
+
+    private fun TestScope.seated(seed: Int): SeatedGroup {
+        val group = SimulatedGroup(backgroundScope, Random(seed), 0.0) { currentTime }
+        backgroundScope.launch { group.run() }
+        return SeatedGroup(group, groupId)
+    }
+
+    private fun TestScope.mover(port: SeatedGroup, role: MoverRole) {
+        val clock = { Timestamp.fromEpochMilliseconds(currentTime) }
+        val mover = ExpertMover(
+            port,
+            { listOf(pool) },
+            { mapOf(groupId to port.members) },
+            { _, _ -> null },
+            { role },
+            GatewayLog(VmId.parse("vm-0"), EventLog({}, {}), clock),
+            clock,
+            Random(1),
+        )
+        backgroundScope.launch { mover.run(backgroundScope) }
+    }
+
+    @Test
+    fun `a group that a frozen leader left held goes on before callers leave`() = runTest {
+        for (seed in 1..20) {
+            val port = seated(seed)
+            mover(port, MoverRole.DEPUTY)
+            delay(2_000)
+            val step = Step(port.group.passes + 3)
+            val answer = port.order(port.members[2], RankOrder.Hold(step), SimulatedGroup.EPOCH)
+            expectThat(answer).isEqualTo(OrderAnswer.ACCEPTED)
+            val heldFrom = currentTime
+            while (port.group.passes < step.value) delay(10)
+            expectThat(currentTime - heldFrom).describedAs("seed $seed").isLessThan(PATIENCE)
+            expectThat(port.group.mixedPasses).isEqualTo(0)
+        }
+    }
+
+    @Test
+    fun `a deputy leaves a group alone that makes passes`() = runTest {
+        val port = seated(1)
+        mover(port, MoverRole.DEPUTY)
+        delay(10_000)
+        expectThat(port.group.passes).isGreaterThan(100)
+        expectThat(port.group.used).isEqualTo(hashSetOf(0L))
+    }
+
+    private companion object {
+        /** Callers leave a stream after two seconds without an event. */
+        const val PATIENCE = 2_000L
+    }
+}
