--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -43,7 +43,7 @@
         budget.requested(request.pool.name)
         while (true) {
             val waitedFrom = clock()
-            val place = dispatcher.acquire(request, course.tried)
+            val place = dispatcher.acquire(request, course.tried, answer.started)
                 .getOrElse { return conclude(course, it, answer) }
             val waited = clock().millisecondsSince(waitedFrom)
             metrics.waited(waited)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -35,10 +35,14 @@
 ) {
     private val pools = Sharded<PoolName, HashMap<PoolName, PoolState>>(SHARDS) { HashMap() }
 
-    /** Waits for a place at a target that the request has not [tried]. */
-    suspend fun acquire(request: ForwardedRequest, tried: Set<TargetId>): Either<Refusal, Place> {
+    /** Waits for a place at a target that the request has not [tried]; see [Waiter]. */
+    suspend fun acquire(
+        request: ForwardedRequest,
+        tried: Set<TargetId>,
+        isContinued: Boolean,
+    ): Either<Refusal, Place> {
         val name = request.pool.name
-        val waiter = Waiter(request, tried)
+        val waiter = Waiter(request, tried, isContinued)
         val until = withPool(name) { admit(waiter, clock()) }
             .fold({ return it.left() }, { it })
         onLoadChanged()
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -24,8 +24,16 @@
 /** A place at [target], among [running] requests of all entries. */
 internal class Place(val target: KnownTarget, val running: Int)
 
-/** A request that waits for a place at a target that it has not [tried]. */
-internal class Waiter(val request: ForwardedRequest, val tried: Set<TargetId>) {
+/**
+ * A request that waits for a place at a target that it has not [tried].
+ *
+ * @property isContinued whether its caller holds a part of the stream, which is lost with a refusal
+ */
+internal class Waiter(
+    val request: ForwardedRequest,
+    val tried: Set<TargetId>,
+    val isContinued: Boolean = false,
+) {
     /** The place, or null when a request with a better claim took this one's turn. */
     val place = CompletableDeferred<Place?>()
 
@@ -47,6 +55,9 @@
     private val placement = TargetPlacement(random)
     private val running = HashMap<TargetId, Int>()
 
+    /** Streams that broke off at a target; their callers leave soon without a further event. */
+    private val continued = FairQueue<Waiter>(MOST_WAITING)
+
     /** Requests whose answer can still come within the goal of their route. */
     private val fresh = FairQueue<Waiter>(MOST_WAITING, newestFirst = true)
 
@@ -60,7 +71,8 @@
     val outcomes = TargetOutcomes()
 
     /** Requests that wait for a place. */
-    val waiting: Int get() = fresh.size + late.size + if (head == null) 0 else 1
+    val waiting: Int
+        get() = continued.size + fresh.size + late.size + if (head == null) 0 else 1
 
     /** Targets with requests of this entry. */
     val inUse: Set<TargetId> get() = running.keys
@@ -76,16 +88,26 @@
                 return request.deadline.right()
             }
         }
-        return HoldRule.decide(backlog(request, now), request.deadline, now).flatMap { until ->
+        val decision = if (waiter.isContinued) {
+            minOf(
+                now.deadlineAfter(CONTINUE_MILLISECONDS),
+                request.deadline,
+                Deadline::compareTo,
+            ).right()
+        } else {
+            HoldRule.decide(backlog(request, now), request.deadline, now)
+        }
+        return decision.flatMap { until ->
             waiter.until = until
             // A newer request goes before the one whose turn it was.
-            head?.let { earlier -> enqueueFresh(earlier).onLeft { earlier.place.complete(null) } }
+            head?.let { earlier -> enqueue(earlier).onLeft { earlier.place.complete(null) } }
             head = null
-            enqueueFresh(waiter).map { until }
+            enqueue(waiter).map { until }
         }
     }
 
-    private fun enqueueFresh(waiter: Waiter): Either<Refusal, Unit> {
+    private fun enqueue(waiter: Waiter): Either<Refusal, Unit> {
+        if (waiter.isContinued) return enqueue(continued, waiter, waiter.until)
         val freshUntil = waiter.request.arrivedAt
             .deadlineAfter(waiter.request.route.goalMilliseconds - FIRST_ANSWER_MILLISECONDS)
         return enqueue(fresh, waiter, minOf(freshUntil, waiter.until, Deadline::compareTo))
@@ -105,6 +127,7 @@
 
     /** Returns the next waiter, a fresh one if there is any. */
     private fun nextOrNull(now: Timestamp): Waiter? {
+        continued.poll(now).next?.let { return it.key }
         val polled = fresh.poll(now)
         polled.shed.forEach { shed ->
             enqueue(late, shed.key, shed.key.until).onLeft { shed.key.place.complete(null) }
@@ -133,6 +156,7 @@
     /** Takes [waiter] out of the queue. */
     fun remove(waiter: Waiter) {
         if (head === waiter) head = null
+        continued.remove(waiter)
         fresh.remove(waiter)
         late.remove(waiter)
     }
@@ -158,7 +182,7 @@
             untried,
             request.pool.engine,
             request.route.gapGoalMilliseconds,
-            isUrgent = waiting > 1 ||
+            isUrgent = waiter.isContinued || waiting > 1 ||
                 request.arrivedAt.deadlineAfter(PATIENCE_MILLISECONDS).hasPassed(now),
         ) ?: return null
         running.merge(chosen.target.id, 1, Int::plus)
@@ -186,6 +210,12 @@
         /** Time from the send to the first event or the answer of a target that has a place. */
         const val FIRST_ANSWER_MILLISECONDS = 180L
 
+        /**
+         * Callers leave a stream two seconds after its last event; most of that has passed when a
+         * silent target is given up.
+         */
+        const val CONTINUE_MILLISECONDS = 700L
+
         /** Wait after which a first event needs most of the rest of a usual goal of 500 ms. */
         const val PATIENCE_MILLISECONDS = 150L
 
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/PoolStateTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/PoolStateTest.kt
@@ -24,9 +24,11 @@
 import org.vanilladale.schema.WorkspaceId
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
 
 /** Answers a burst that fills all places for a while; checks what callers get. */
 class PoolStateTest {
@@ -146,6 +148,23 @@
         expectThat(outcomes.inTime()).isGreaterThan((6 * 30 * 0.8).toInt())
     }
 
+    @Test
+    fun `a stream that broke off is not refused under a load that refuses others`() {
+        val state = state(Random(1))
+        var id = 0
+        fun waiter(isContinued: Boolean) =
+            Waiter(request(++id, 0, "small"), emptySet(), isContinued)
+        val placed = List(6) { waiter(false).also { state.admit(it, at(0)) } }
+        expectThat(placed.count { it.place.isCompleted }).isEqualTo(6)
+        while (state.admit(waiter(false), at(0)).isRight()) Unit
+        val broken = waiter(isContinued = true)
+        expectThat(state.admit(broken, at(0)).isRight()).isTrue()
+        expectThat(state.admit(waiter(false), at(0)).isRight()).isFalse()
+        state.release(target.id, SERVICE)
+        state.fill(at(10))
+        expectThat(broken.place.isCompleted).isTrue()
+    }
+
     @Test
     fun `no request is held beyond the longest wait, and a hopeless one is refused at once`() {
         val outcomes = play(gap = 15, large = 0)
