End a program that can't listen, and keep test ports away from outgoing connections

Its log holds a stack trace that ends in Agent.start called from main. Two faults meet there. The tests picked ports among those of outgoing connections (32768 to 60999 here), so another process could take one before the agent listened on it. And a program whose start failed stayed alive without its endpoint, because threads of its event loops run on; nothing started it again.

Programs now end with code 1 and a message that names the remedy.

Ruled out: slow starts, since the process printed its trace 4 s before the others were in force. The first line of that trace was cut off, so that it was a taken port is inferred from the place and from the reproduction, not read.

--- a/entry/src/main/kotlin/org/vanilladale/entry/Main.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/Main.kt
@@ -8,9 +8,9 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.file
-import kotlinx.coroutines.runBlocking
 import org.vanilladale.core.settings.readEntrySettings
 import org.vanilladale.runtime.onTermination
+import org.vanilladale.runtime.startProgram
 
 private class EntryCommand : CliktCommand("vanilladale-entry") {
     private val settings by option(help = "Settings file, JSON with comments")
@@ -25,7 +25,7 @@
             .fold({ faults -> throw CliktError(faults.joinToString("\n") { it.message }) }, { it })
         if (check) return
         val entry = Entry(parsed)
-        runBlocking { entry.start() }
+        startProgram(entry::start).onLeft { throw CliktError(it.message) }
         onTermination(entry::leave)
     }
 }
--- a/platform/src/main/kotlin/org/vanilladale/platform/FreePorts.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/FreePorts.kt
@@ -1,11 +1,11 @@
-package org.vanilladale.platform
+package org.vanilladale.runtime
 
 import java.net.BindException
 import java.net.ServerSocket
 import kotlin.random.Random
 
 /** Hands out ports on which nobody listens, each of them once. */
-internal object FreePorts {
+public object FreePorts {
     private val taken = HashSet<Int>()
 
     /** Below the ports of outgoing connections, which could take one before it is listened on. */
@@ -13,7 +13,7 @@
 
     /** Returns a port that no process listens on. */
     @Synchronized
-    fun take(): Int = generateSequence {
+    public fun take(): Int = generateSequence {
         range.random(Random)
     }.first { taken.add(it) && isFree(it) }
 
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/Fleet.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/Fleet.kt
@@ -2,14 +2,13 @@
 
 import io.vertx.core.json.JsonObject
 import java.io.File
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.nio.file.Files
 import java.time.Duration
+import org.vanilladale.runtime.FreePorts
 
 /**
  * A small fleet of real processes on the loopback address with stand-ins for the platform.
@@ -23,9 +22,7 @@
     private val ports = mutableMapOf<String, Int>()
 
     /** Returns the port called [name]; the first call picks a free one. */
-    fun port(name: String): Int = ports.getOrPut(name) {
-        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-    }
+    fun port(name: String): Int = ports.getOrPut(name, FreePorts::take)
 
     /** Gives the port called [name] up, so that the next use of the name picks another one. */
     fun movePort(name: String) {
