Set the close handler of an answer before its request can be refused

The request's coroutine ran before the handler was set, and a handler can't be set on an ended answer. It now starts after that. MalformedInputTest looks for the line in the log: found before, absent after.

--- a/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/CallerEndpoint.kt
@@ -13,6 +13,7 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
 import org.tinylog.kotlin.Logger
@@ -125,7 +126,8 @@
         val sink = HttpAnswerSink(context.response())
         answering.incrementAndGet()
         // On the event loop of the caller's connection a line needs no change of threads.
-        val job = scope.launch(vertx.dispatcher()) {
+        // It starts with the handlers set: a refusal ends the answer at once.
+        val job = scope.launch(vertx.dispatcher(), CoroutineStart.LAZY) {
             runCatchingIo {
                 val refusal = run(request, sink)
                 if (refusal == null) sink.end() else logAndRefuse(request, sink, refusal)
@@ -133,6 +135,7 @@
         }
         job.invokeOnCompletion { answering.decrementAndGet() }
         context.response().closeHandler { job.cancel() }
+        job.start()
     }
 
     private suspend fun logAndRefuse(
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/MalformedInputTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/MalformedInputTest.kt
@@ -53,6 +53,15 @@
 
     private fun lookUp(key: String) = fleet.send("entry-0", "stock", key, "").statusCode()
 
+    @Test
+    fun `a request that is refused at once leaves no fault in the log`() {
+        val refused = fleet.send("entry-0", "unknown-kind", "refused-1", "")
+        expectThat(refused.statusCode()).isEqualTo(404)
+        expectThat(lookUp("after-refusal")).isEqualTo(200)
+        val log = fleet.processes.getValue("entry-0").log.readText()
+        expectThat(log).not().contains("Response has already been written")
+    }
+
     private fun hello(secret: String, protocol: Int = LocalIdentity.PROTOCOL_VERSION) =
         FrameCodec.encode(
             Hello(
