Let one entry lead after a start of all, and move experts off slow ranks

Entries that are about to serve now count for the choice (ExpertRoles), a starting entry leads a second after its start at the earliest, and asks again before a change. Maps are now planned with the speeds of ranks; a change that relieves a slow rank may copy more.

The planner searched pairs of edits for minutes with slow ranks (found by GroupPlannerTest): edits are bounded, and their least gain is a share of the potential.

--- a/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
@@ -1,6 +1,8 @@
 package org.vanilladale.core.gateway
 
+import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.EntryBeat
+import org.vanilladale.schema.EntryPhase
 import org.vanilladale.schema.PoolName
 import org.vanilladale.schema.Revision
 import org.vanilladale.schema.SocketAddressText
@@ -51,7 +53,7 @@
         peers.remove(beat.vm)?.let { add(it.beat, -1) }
         silent.remove(beat.vm)
         val silence = maxOf(silenceMilliseconds, MISSED_BEATS * beat.intervalMilliseconds)
-        peers[beat.vm] = PeerEntry(beat, now.deadlineAfter(silence))
+        peers[beat.vm] = PeerEntry(beat, now.deadlineAfter(silence), startDue(beat, known, now))
         add(beat, 1)
         return true
     }
@@ -88,6 +90,12 @@
     /** Returns the number of peers at which requests wait for a place in [pool]. */
     public fun waitingEntries(pool: PoolName): Int = waitingEntries[pool] ?: 0
 
+    private fun startDue(beat: EntryBeat, known: PeerEntry?, now: Timestamp): Deadline? {
+        if (beat.phase != EntryPhase.STARTING) return null
+        val earlier = known?.takeIf { it.beat.incarnation == beat.incarnation }?.startDue
+        return earlier ?: now.deadlineAfter(START_MILLISECONDS)
+    }
+
     private fun isNewer(beat: EntryBeat, known: EntryBeat): Boolean =
         if (beat.incarnation == known.incarnation) {
             beat.sequence > known.sequence
@@ -118,6 +126,9 @@
         /** Beats that may be missing in a row, so that a few lost datagrams are no silence. */
         public const val MISSED_BEATS: Int = 4
 
+        /** A start takes about a second; an entry that takes longer lacks the store. */
+        public const val START_MILLISECONDS: Long = 2_000
+
         /** Bounds the memory for peers that never return. */
         private const val MOST_LOST = 512
     }
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -70,15 +70,16 @@
         }
     }
 
-    /**
-     * Returns how much longer than modelled the passes of [members], ranks of one group, last, or
-     * null when none is seen. They do while demand is uneven or a rank is slow.
-     */
-    public fun slowdownOrNull(members: List<PlacementCandidate>, engine: EngineProfile): Double? {
+    /** Returns how long the passes of [members], ranks of one group, last; null when not seen. */
+    public fun passesOrNull(
+        members: List<PlacementCandidate>,
+        engine: EngineProfile,
+    ): GroupPasses? {
         val gaps = members.mapNotNull { it.gapMilliseconds }
         if (gaps.isEmpty()) return null
         val modelled = engine.passMilliseconds(members.maxOf { it.running }.coerceAtLeast(1))
-        return (gaps.average() / modelled).coerceIn(1.0, MOST_SLOWDOWN)
+        val seen = gaps.average()
+        return GroupPasses(seen, (seen / modelled).coerceIn(1.0, MOST_SLOWDOWN))
     }
 
     private fun leastLoadedOrNull(candidates: List<PlacementCandidate>): PlacementCandidate? =
@@ -115,7 +116,7 @@
         reserve: Double,
     ): Map<Any, Group> = candidates.groupBy(::groupKey).mapValues { (_, members) ->
         Group(members).apply {
-            slowdown = slowdownOrNull(members, engine) ?: 1.0
+            slowdown = passesOrNull(members, engine)?.slowdown ?: 1.0
             limit = limitOf(engine, slowdown, gapGoalMilliseconds, reserve)
         }
     }
--- a/core/src/main/kotlin/org/vanilladale/core/groupswitch/GroupPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/GroupPlanner.kt
@@ -16,6 +16,9 @@
 /** Limits of one change of a group's maps: copies that a rank can load for each set. */
 public data class ChangeLimits(val copiesOfSet: Int)
 
+/** What maps are planned for: the [tokens] of each expert by set, and the [speed] of the ranks. */
+public data class GroupDemand(val tokens: List<List<Double>>, val speed: RankSpeed)
+
 /**
  * New maps for all sets of a group, and the mean skew of the sets before and after.
  *
@@ -31,39 +34,53 @@
 )
 
 /**
- * Plans the maps of a group's sets of layers together; answers sudden shifts of the demand.
+ * Plans the maps of a group's sets of layers together; answers sudden shifts of the demand and
+ * ranks that turn slow.
  *
- * A pass lasts as long as the sum over the sets of their fullest ranks, so a change is judged by
- * the mean skew of all sets.
+ * A pass lasts as long as the sum over the sets of their slowest ranks, so a change is judged by
+ * the mean skew of all sets. A rank that takes several times as long as the others for its work
+ * slows down all streams of its group, so its experts with the most tokens move at once, for which
+ * the other ranks load more copies than for a shift.
  */
 public class GroupPlanner {
-    private val options = PlacementOptions(
-        tolerance = TOLERANCE,
-        hysteresis = HYSTERESIS,
-        skewOfMove = SKEW_OF_COPY,
-        movesPerProposal = MOST_COPIES,
-        coolDownMilliseconds = 0,
-        urgentSkew = Double.POSITIVE_INFINITY,
-    )
-    private val planner = PlacementPlanner(options)
-
-    /** Returns better maps for the tokens of each expert by set, or null when none pays. */
+    /** Copies that one change may take, of one set and of all sets of a rank. */
+    private class CopyLimits(val ofSet: Int, val ofRank: Int, chainStarts: Int) {
+        val planner = PlacementPlanner(
+            PlacementOptions(
+                tolerance = TOLERANCE,
+                hysteresis = HYSTERESIS,
+                skewOfMove = SKEW_OF_COPY,
+                movesPerProposal = ofSet,
+                coolDownMilliseconds = 0,
+                urgentSkew = Double.POSITIVE_INFINITY,
+                chainStarts = chainStarts,
+            ),
+        )
+    }
+
+    private val ofShift = CopyLimits(MOST_COPIES, MOST_COPIES_OF_RANK, CHAIN_STARTS)
+
+    /** With slow ranks much skew stays, and a search of pairs of edits would go on for minutes. */
+    private val ofRelief = CopyLimits(MOST_COPIES_IN_RELIEF, MOST_COPIES_OF_RANK_IN_RELIEF, 0)
+
+    /** Returns better maps for [demand], or null when none pays. */
     public fun planOrNull(
         maps: List<ExpertMap>,
-        tokens: List<List<Double>>,
+        demand: GroupDemand,
         limits: ChangeLimits,
         now: Timestamp,
     ): GroupProposal? {
+        val before = meanSkew(maps, demand)
+        val most = if (demand.speed.slowest <= RELIEF_SPEED) ofRelief else ofShift
         // Ranks load for one set after the other, so the sets share out what each rank loads.
         val loads = HashMap<Rank, Int>()
         val planned = maps.indices.map { set ->
-            val full = loads.filterValues { it >= MOST_COPIES_OF_RANK }.keys
-            planSet(maps[set], tokens[set], limits, full, now).also { map ->
+            val full = loads.filterValues { it >= most.ofRank }.keys
+            planSet(maps[set], demand, set, most, limits, full, now).also { map ->
                 map.copiesMissingIn(maps[set]).forEach { loads.merge(it.rank, 1, Int::plus) }
             }
         }
-        val before = maps.indices.map { skew(maps[it], tokens[it]) }.average()
-        val after = maps.indices.map { skew(planned[it], tokens[it]) }.average()
+        val after = meanSkew(planned, demand)
         if (before - after < LEAST_GAIN) return null
         val copies = maps.indices.flatMap { planned[it].copiesMissingIn(maps[it]) }
         val copiesOfRank = copies.groupingBy { it.rank }.eachCount().values.maxOrNull() ?: 0
@@ -72,24 +89,25 @@
 
     private fun planSet(
         map: ExpertMap,
-        tokens: List<Double>,
+        demand: GroupDemand,
+        set: Int,
+        most: CopyLimits,
         limits: ChangeLimits,
         full: Set<Rank>,
         now: Timestamp,
     ): ExpertMap {
-        val popularity = ExpertPopularity.even(map.expertCount).observe(tokens, now)
+        val popularity = ExpertPopularity.even(map.expertCount).observe(demand.tokens[set], now)
         val input = PlacementInput(
-            PlacementState(map, MoveBudget.of(MOST_COPIES), barred = barred(map, full, now)),
+            PlacementState(map, MoveBudget.of(most.ofSet), barred = barred(map, full, now)),
             popularity,
-            RankSpeed.even(map.rankCount),
+            demand.speed,
             SKEW_WEIGHT,
             now,
         )
-        val proposed = planner.plan(input).getOrNull()?.map ?: return map
-        val most = proposed.copiesMissingIn(map).groupingBy {
-            it.rank
-        }.eachCount().values.maxOrNull()
-        return if (most == null || most <= limits.copiesOfSet) proposed else map
+        val proposed = most.planner.plan(input).getOrNull()?.map ?: return map
+        val copies = proposed.copiesMissingIn(map)
+        val fullest = copies.groupingBy { it.rank }.eachCount().values.maxOrNull() ?: 0
+        return if (fullest <= limits.copiesOfSet) proposed else map
     }
 
     /** Keeps further copies off the ranks that load enough for this change. */
@@ -97,16 +115,24 @@
         List(map.expertCount) { ExpertCopy(ExpertId(it), rank) to now.deadlineAfter(1) }
     }.toMap()
 
-    /** Returns the load of the fullest rank over the mean; 1 without tokens. */
-    public fun skew(map: ExpertMap, tokens: List<Double>): Double {
+    /** Returns the mean over the sets of [maps] of their [skew]. */
+    public fun meanSkew(maps: List<ExpertMap>, demand: GroupDemand): Double =
+        maps.indices.map { skew(maps[it], demand.tokens[it], demand.speed) }.average()
+
+    /**
+     * Returns the time of the slowest rank over that of a perfect spread of the tokens; 1 without
+     * tokens.
+     */
+    private fun skew(map: ExpertMap, tokens: List<Double>, speed: RankSpeed): Double {
         val total = tokens.sum()
         if (total <= 0) return 1.0
-        val loads = DoubleArray(map.rankCount)
+        val times = DoubleArray(map.rankCount)
         tokens.forEachIndexed { expert, count ->
             val ranks: List<Rank> = map.ranksOf(ExpertId(expert))
-            ranks.forEach { loads[it.value] += count / ranks.size }
+            ranks.forEach { times[it.value] += count / ranks.size / speed.speedOf(it) }
         }
-        return loads.max() * map.rankCount / total
+        val speeds = (0 until map.rankCount).sumOf { speed.speedOf(Rank(it)) }
+        return times.max() * speeds / total
     }
 
     private companion object {
@@ -124,6 +150,18 @@
         /** Copies of all sets that one rank loads for one change, about 0.15 s each. */
         const val MOST_COPIES_OF_RANK = 3
 
+        /** Speed over the usual one from which on a rank slows down its group. */
+        const val RELIEF_SPEED = 0.75
+
+        /** Edits that are tried with a second one. */
+        const val CHAIN_STARTS = 64
+
+        /** Copies of a set for one change that relieves slow ranks. */
+        const val MOST_COPIES_IN_RELIEF = 8
+
+        /** Copies of all sets that one rank loads for such a change; a second and more. */
+        const val MOST_COPIES_OF_RANK_IN_RELIEF = 8
+
         /** Drop of the mean skew that is worth the orders and copies of a change. */
         const val LEAST_GAIN = 0.35
     }
--- a/core/src/main/kotlin/org/vanilladale/core/groupswitch/RankReport.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/groupswitch/RankReport.kt
@@ -12,6 +12,7 @@
  * @property prepared version whose experts are loaded, or null
  * @property armed version that comes into use at a later pass, or null
  * @property heldAt pass that the group may not begin yet, or null
+ * @property pace how many times as long as usual the rank takes for its work
  */
 public data class RankReport(
     val epoch: Long,
@@ -21,6 +22,7 @@
     val prepared: Long?,
     val armed: Long?,
     val heldAt: Step?,
+    val pace: Double = 1.0,
 ) {
     /** True when no switch is in progress at the rank. */
     val isClean: Boolean get() = armed == null && heldAt == null
--- a/core/src/main/kotlin/org/vanilladale/core/placement/EditSearch.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/EditSearch.kt
@@ -1,6 +1,7 @@
 package org.vanilladale.core.placement
 
-private const val LEAST_POTENTIAL_DROP = 1e-9
+/** Part of the potential, whose eighth powers are large with slow ranks and round off the rest. */
+private const val LEAST_DROP_SHARE = 1e-9
 
 /**
  * Search for the edits of one step of a decision.
@@ -28,11 +29,12 @@
     fun bestEdits(): List<PlacementEdit> {
         val potential = draft.potential
         val loads = draft.loadCount
-        val single = bestEditOrNull(potential, loads, LEAST_POTENTIAL_DROP)
+        val leastDrop = potential * LEAST_DROP_SHARE
+        val single = bestEditOrNull(potential, loads, leastDrop)
         if (single != null) return listOf(single.edit)
         if (draft.skew <= options.chainSkew) return emptyList()
         var best = emptyList<PlacementEdit>()
-        var bestRate = LEAST_POTENTIAL_DROP
+        var bestRate = leastDrop
         for (first in leastRises(options.chainStarts)) {
             first.apply(draft)
             bestEditOrNull(potential, loads, bestRate)?.let {
--- a/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/PlacementPlanner.kt
@@ -70,7 +70,8 @@
         var bestCount = 0
         var bestSkew = draft.skew
         var bestCost = cost.of(draft.skew, 0)
-        while (draft.skew > 1 + options.tolerance) {
+        val mostEdits = MOST_EDITS_OF_EXPERT * input.state.map.expertCount
+        while (draft.skew > 1 + options.tolerance && edits.size < mostEdits) {
             val found = search.bestEdits()
             if (found.isEmpty()) break
             found.forEach { it.apply(draft) }
@@ -99,4 +100,9 @@
         }
         return barred
     }
+
+    private companion object {
+        /** Bounds the search where ever smaller gains would go on for long. */
+        const val MOST_EDITS_OF_EXPERT = 2
+    }
 }
--- a/core/src/main/kotlin/org/vanilladale/core/placement/RankSpeed.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/placement/RankSpeed.kt
@@ -20,6 +20,9 @@
 ) {
     public val rankCount: Int get() = speeds.size
 
+    /** Speed of the slowest rank. */
+    public val slowest: Double get() = speeds.min()
+
     /** Returns the speed of [rank] to plan with. */
     public fun speedOf(rank: Rank): Double {
         val speed = speeds[rank.value]
@@ -53,6 +56,20 @@
     }
 
     public companion object {
+        /** Returns the speeds of ranks that take [paces] times as long as usual for their work. */
+        public fun fromPaces(
+            paces: List<Double>,
+            options: RankSpeedOptions = RankSpeedOptions(),
+        ): RankSpeed {
+            require(paces.isNotEmpty()) { "paces must not be empty" }
+            val speeds = paces.map { pace -> if (pace > 0) 1 / pace else 1.0 }
+            return RankSpeed(
+                DoubleArray(paces.size) { speeds[it].coerceAtLeast(LOWEST_SPEED) },
+                null,
+                options,
+            )
+        }
+
         /** Returns speed 1 for [rankCount] ranks before any report. */
         public fun even(
             rankCount: Int,
--- a/core/src/test/kotlin/org/vanilladale/core/groupswitch/GroupPlannerTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/groupswitch/GroupPlannerTest.kt
@@ -3,6 +3,7 @@
 import kotlin.random.Random
 import org.junit.jupiter.api.Test
 import org.vanilladale.core.placement.ExpertMap
+import org.vanilladale.core.placement.RankSpeed
 import org.vanilladale.schema.Timestamp
 import strikt.api.expectThat
 import strikt.assertions.isGreaterThan
@@ -15,6 +16,7 @@
 class GroupPlannerTest {
     private val planner = GroupPlanner()
     private val now = Timestamp.fromEpochMilliseconds(0)
+    private val evenSpeed = RankSpeed.even(RANKS)
     private val even = List(SETS) { ExpertMap.evenly(RANKS, PLACES, EXPERTS) }
 
     /** Shares that fall as 1 / place^1.5, in a random order for each set. */
@@ -24,7 +26,7 @@
     }
 
     private fun plan(maps: List<ExpertMap>, tokens: List<List<Double>>) =
-        planner.planOrNull(maps, tokens, ChangeLimits(4), now)
+        planner.planOrNull(maps, GroupDemand(tokens, evenSpeed), ChangeLimits(4), now)
 
     @Test
     fun `a few copies bring the fullest rank near the mean, again after each shift`() {
@@ -39,7 +41,7 @@
                     expectThat(proposal.skewAfter).isLessThan(proposal.skewBefore)
                     maps = proposal.maps
                 }
-                val skew = maps.indices.map { planner.skew(maps[it], tokens[it]) }.average()
+                val skew = planner.meanSkew(maps, GroupDemand(tokens, evenSpeed))
                 expectThat(skew).describedAs("seed $seed, shift $shift").isLessThan(1.5)
             }
         }
@@ -48,8 +50,7 @@
     @Test
     fun `map 0 leaves one rank with far more than the mean`() {
         val tokens = demand(1)
-        expectThat(even.indices.map { planner.skew(even[it], tokens[it]) }.average())
-            .isGreaterThan(2.0)
+        expectThat(planner.meanSkew(even, GroupDemand(tokens, evenSpeed))).isGreaterThan(2.0)
     }
 
     @Test
@@ -62,6 +63,20 @@
         expectThat(plan(even, List(SETS) { List(EXPERTS) { 1.0 } })).isNull()
     }
 
+    @Test
+    fun `ranks that are twelve times slower leave the passes of their group short`() {
+        val slow = RankSpeed.fromPaces(List(RANKS) { if (it < 3) 12.0 else 1.0 })
+        for (seed in 1..5) {
+            val demand = GroupDemand(demand(seed), slow)
+            var maps = even
+            repeat(3) {
+                maps = planner.planOrNull(maps, demand, ChangeLimits(4), now)?.maps ?: maps
+            }
+            expectThat(planner.meanSkew(even, demand)).isGreaterThan(5.0)
+            expectThat(planner.meanSkew(maps, demand)).describedAs("seed $seed").isLessThan(2.5)
+        }
+    }
+
     private companion object {
         const val SETS = 6
         const val RANKS = 8
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ExpertMover.kt
@@ -8,28 +8,20 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.vanilladale.core.gateway.ExpertProfile
+import org.vanilladale.core.gateway.ExpertRole
 import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.GroupPasses
 import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.groupswitch.ChangeLimits
 import org.vanilladale.core.groupswitch.DemandWatch
 import org.vanilladale.core.groupswitch.ExpertDemand
+import org.vanilladale.core.groupswitch.GroupDemand
 import org.vanilladale.core.groupswitch.GroupPlanner
 import org.vanilladale.core.groupswitch.GroupProposal
 import org.vanilladale.core.placement.ExpertMap
 import org.vanilladale.schema.GroupId
 import org.vanilladale.schema.Timestamp
 
-/** What an entry does about the experts of a pool. */
-internal enum class MoverRole {
-    NONE,
-
-    /** Frees groups that the leader left held; a freeze of the leader stops all streams of one. */
-    DEPUTY,
-
-    /** Moves experts. */
-    LEADER,
-}
-
 /**
  * Moves the experts of a pool's groups while this entry leads.
  *
@@ -37,15 +29,14 @@
  * stops at a rank that the other has touched.
  *
  * @param groups open groups of a pool with all their members, in the order of their ranks
- * @param slowdownOrNull how much longer than modelled the passes of some ranks of a pool last; null
- *   when no streams run
+ * @param passesOrNull how long the passes of a group of a pool last; null when no streams run
  */
 internal class ExpertMover(
     private val port: RankPort,
     private val pools: () -> List<GatewayPool>,
     private val groups: (GatewayPool) -> Map<GroupId, List<KnownTarget>>,
-    private val slowdownOrNull: (GatewayPool, List<KnownTarget>) -> Double?,
-    private val role: () -> MoverRole,
+    private val passesOrNull: (GatewayPool, List<KnownTarget>) -> GroupPasses?,
+    private val role: () -> ExpertRole,
     private val log: GatewayLog,
     private val clock: () -> Timestamp,
     private val random: Random,
@@ -55,6 +46,9 @@
     private val holder = random.nextInt(Int.MAX_VALUE)
     private val watch = DemandWatch(clock())
     private var leading = false
+
+    /** Time from which this entry may lead; at its start it has yet to hear of earlier names. */
+    private var leadsFrom = clock().deadlineAfter(MEETING_MILLISECONDS)
     private var reportsDue = clock().deadlineAfter(0)
 
     /** What the requests choose; null before the first counts. */
@@ -65,15 +59,15 @@
         while (true) {
             delay(LOOK_MILLISECONDS)
             val pool = pools().firstOrNull { it.engine?.experts != null }
-            when (if (pool == null) MoverRole.NONE else role()) {
-                MoverRole.NONE -> lay(pool)
+            when (if (pool == null) ExpertRole.NONE else role()) {
+                ExpertRole.NONE -> stepDown(pool)
 
-                MoverRole.DEPUTY -> {
-                    lay(pool)
+                ExpertRole.DEPUTY -> {
+                    stepDown(pool)
                     pool?.let { watchOver(scope, it) }
                 }
 
-                MoverRole.LEADER -> pool?.let { lead(scope, it) }
+                ExpertRole.LEADER -> pool?.let { lead(scope, it) }
             }
         }
     }
@@ -87,11 +81,10 @@
     }
 
     private suspend fun lead(scope: CoroutineScope, pool: GatewayPool) {
+        if (!leadsFrom.hasPassed(clock())) return
         if (!leading) {
             leading = true
             log.log(GatewayEvent.ExpertLead(pool.name.text, true))
-            // The entry that led before may be in the middle of a switch.
-            delay(TAKE_OVER_MILLISECONDS)
         }
         val current = formations(pool)
         readReports(current)
@@ -99,8 +92,9 @@
             idle.job = scope.launch { check(idle, switchOf(idle)) }
         }
         val profile = profileOf(pool)
-        if (readDemand(pool, profile, current)) {
-            val isBetter = current.map { plan(scope, it, profile) }.any { it }
+        // Reading takes a while, in which an earlier name may have begun to serve.
+        if (readDemand(pool, profile, current) && role() == ExpertRole.LEADER) {
+            val isBetter = current.map { plan(scope, pool, it, profile) }.any { it }
             watch.wasRead(isBetter, clock())
         }
     }
@@ -108,7 +102,9 @@
     private fun profileOf(pool: GatewayPool): ExpertProfile =
         checkNotNull(pool.engine?.experts) { "Only pools with experts have groups" }
 
-    private fun lay(pool: GatewayPool?) {
+    private fun stepDown(pool: GatewayPool?) {
+        // The entry that leads now may be in the middle of a switch when this one is next to lead.
+        leadsFrom = clock().deadlineAfter(TAKE_OVER_MILLISECONDS)
         if (!leading) return
         leading = false
         demand = null
@@ -137,7 +133,10 @@
         }
     }
 
-    /** Reads counts when some group is slow; true when the demand is known better after that. */
+    /**
+     * Reads counts and the paces of ranks when some group is slow; true when what maps are planned
+     * for is known better after that.
+     */
     private suspend fun readDemand(
         pool: GatewayPool,
         profile: ExpertProfile,
@@ -145,24 +144,44 @@
     ): Boolean {
         // Nothing can be planned for a group whose maps were not read yet.
         val slowest = current.filter { it.maps != null }
-            .mapNotNull { slowdownOrNull(pool, it.ranks) }
+            .mapNotNull { passesOrNull(pool, it.ranks)?.slowdown }
             .maxOrNull() ?: return false
         if (!watch.isDue(slowest, demand?.shares != null, clock())) return false
         val known = demand ?: ExpertDemand(profile.sets, profile.experts).also { demand = it }
+        val isPaceNews = readPaces(current)
         val moved = sampleChoices(current)?.let(known::takeOrNull)
-        log.log(GatewayEvent.ExpertDemandRead(pool.name.text, slowest, moved))
-        if (moved == null) watch.wasRead(betterMap = false, clock())
-        return moved != null
+        val slowRanks = current.sumOf { it.slowRanks }
+        log.log(GatewayEvent.ExpertDemandRead(pool.name.text, slowest, moved, slowRanks))
+        val isKnownBetter = moved != null || (isPaceNews && known.shares != null)
+        if (!isKnownBetter) watch.wasRead(betterMap = false, clock())
+        return isKnownBetter
+    }
+
+    /** Reads how slow each rank is; true when some rank has turned slow or sound. */
+    private suspend fun readPaces(current: List<GroupState>): Boolean = coroutineScope {
+        current.map { state ->
+            async {
+                val paces = state.ranks.map { rank -> async { port.report(rank)?.pace } }.awaitAll()
+                state.usePaces(paces)
+            }
+        }.awaitAll().any { it }
     }
 
     /** Plans better maps for a group that is at rest; true when it is switched or about to be. */
-    private fun plan(scope: CoroutineScope, state: GroupState, profile: ExpertProfile): Boolean {
+    private fun plan(
+        scope: CoroutineScope,
+        pool: GatewayPool,
+        state: GroupState,
+        profile: ExpertProfile,
+    ): Boolean {
         if (!state.isIdle) return true
         val tokens = demand?.shares ?: return false
         val maps = state.maps ?: return false
         val limits = ChangeLimits(profile.copiesAtOnce)
-        val proposal = planner.planOrNull(maps, tokens, limits, clock()) ?: return false
-        state.job = scope.launch { change(state, switchOf(state), proposal, profile) }
+        val wanted = GroupDemand(tokens, state.speed)
+        val proposal = planner.planOrNull(maps, wanted, limits, clock()) ?: return false
+        val pass = passesOrNull(pool, state.ranks)?.milliseconds
+        state.job = scope.launch { change(state, switchOf(state), proposal, profile, pass) }
         return true
     }
 
@@ -194,9 +213,11 @@
         switch: MapSwitch,
         proposal: GroupProposal,
         profile: ExpertProfile,
+        passMilliseconds: Double?,
     ) {
         val startedAt = clock()
-        val result = switch.run(proposal.maps, copyMilliseconds(proposal, profile))
+        val copies = copyMilliseconds(proposal, profile)
+        val result = switch.run(proposal.maps, copies, passMilliseconds)
         log.log(
             GatewayEvent.MapSwitched(
                 state.group.text,
@@ -219,6 +240,11 @@
     private suspend fun check(state: GroupState, switch: MapSwitch) {
         val cause = if (state.isChecked) "no passes" else "maps not known"
         val reports = switch.reports() ?: return
+        // The ranks switch by themselves when they begin the pass; till then nothing can be done.
+        if (reports.values.all { it.heldAt == null } && reports.values.isArmedAlike) {
+            delay(PENDING_MILLISECONDS)
+            return
+        }
         if (reports.values.any { !it.isClean }) {
             recover(state, switch, cause)
             return
@@ -270,12 +296,18 @@
         /** A group that stands still shows within three reports. */
         const val REPORT_MILLISECONDS = 200L
 
+        /** Time in which entries that start together hear of each other. */
+        const val MEETING_MILLISECONDS = 1_000L
+
         /** A switch in progress ends within this time once its copies are loaded. */
         const val TAKE_OVER_MILLISECONDS = 700L
 
         /** Numbers of 53 bits pass through any JSON library. */
         const val VERSIONS_A_MILLISECOND = 4_000L
 
+        /** Wait for the pass at which all ranks of a group switch; a slow one takes longer. */
+        const val PENDING_MILLISECONDS = 200L
+
         /** A few passes of a busy group, so that each sampled rank has begun some requests. */
         const val SAMPLE_MILLISECONDS = 160L
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -19,6 +19,8 @@
 import kotlinx.coroutines.launch
 import org.vanilladale.core.gateway.AddressCandidate
 import org.vanilladale.core.gateway.CallerAddresses
+import org.vanilladale.core.gateway.ExpertRole
+import org.vanilladale.core.gateway.ExpertRoles
 import org.vanilladale.core.gateway.FleetView
 import org.vanilladale.core.gateway.FrontEntries
 import org.vanilladale.core.gateway.GatewayTables
@@ -95,8 +97,8 @@
         parts.ranks(vertx),
         { knowledge.tables?.pools?.toList().orEmpty() },
         { pool -> directory.use { it.openGroups(pool.name) } },
-        dispatcher::slowdownOrNull,
-        ::moverRole,
+        dispatcher::passesOrNull,
+        ::expertRole,
         log,
         clock,
         random,
@@ -285,17 +287,10 @@
         interval,
     )
 
-    /** The serving entry with the first name leads, the next one is its deputy. */
-    private fun moverRole(): MoverRole {
-        if (!isReady) return MoverRole.NONE
-        val before = fleet.use { view ->
-            view.live.count { it.isServing && it.beat.vm.text < settings.vm.text }
-        }
-        return when (before) {
-            0 -> MoverRole.LEADER
-            1 -> MoverRole.DEPUTY
-            else -> MoverRole.NONE
-        }
+    private fun expertRole(): ExpertRole = if (isReady) {
+        fleet.use { ExpertRoles.roleOf(settings.vm, it.live, clock()) }
+    } else {
+        ExpertRole.NONE
     }
 
     private fun heardPeer() {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -131,8 +131,12 @@
      */
     @Serializable
     @SerialName("expert-demand")
-    public data class ExpertDemandRead(val pool: String, val slowdown: Double, val moved: Double?) :
-        GatewayEvent
+    public data class ExpertDemandRead(
+        val pool: String,
+        val slowdown: Double,
+        val moved: Double?,
+        val slowRanks: Int,
+    ) : GatewayEvent
 
     /** A switch of a group's maps ended. */
     @Serializable
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GroupState.kt
@@ -5,6 +5,7 @@
 import org.vanilladale.core.gateway.ExpertProfile
 import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.placement.ExpertMap
+import org.vanilladale.core.placement.RankSpeed
 import org.vanilladale.schema.GroupId
 import org.vanilladale.schema.Rank
 import org.vanilladale.schema.Step
@@ -70,6 +71,24 @@
         this.maps = maps
     }
 
+    /** Speeds of the ranks, as their last reports tell. */
+    var speed: RankSpeed = RankSpeed.even(ranks.size)
+        private set
+
+    /** Ranks that are slower than the others. */
+    val slowRanks: Int get() = ranks.indices.count { speed.speedOf(Rank(it)) < SLOW_SPEED }
+
+    /** Takes the [paces] of the ranks, null for a missing one; true when others are slow now. */
+    fun usePaces(paces: List<Double?>): Boolean {
+        val before = speed
+        val known = paces.mapIndexed { rank, pace -> pace ?: (1 / before.speedOf(Rank(rank))) }
+        speed = RankSpeed.fromPaces(known)
+        return ranks.indices.any { rank ->
+            val change = speed.speedOf(Rank(rank)) / before.speedOf(Rank(rank))
+            change < SLOW_SPEED || change > 1 / SLOW_SPEED
+        }
+    }
+
     /** Returns the maps by set that follow from what each rank holds, or null for nonsense. */
     fun mapsOf(held: List<HeldExperts>): List<ExpertMap>? =
         List(profile.sets) { set -> mapOf(set, held) }.filterNotNull()
@@ -87,5 +106,8 @@
     private companion object {
         /** Reports without a pass after which a group may be held; an idle one shows the same. */
         const val STUCK_REPORTS = 3
+
+        /** Speed over the usual one below which a rank slows down its group. */
+        const val SLOW_SPEED = 0.7
     }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/MapSwitch.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/MapSwitch.kt
@@ -57,8 +57,16 @@
     public var version: Long = 0
         private set
 
-    /** Switches to [maps], for which the ranks load experts for about [copyMilliseconds]. */
-    public suspend fun run(maps: List<ExpertMap>, copyMilliseconds: Long): SwitchResult {
+    /**
+     * Switches to [maps], for which the ranks load experts for about [copyMilliseconds].
+     *
+     * @param passMilliseconds duration of a pass, or null when it is not known
+     */
+    public suspend fun run(
+        maps: List<ExpertMap>,
+        copyMilliseconds: Long,
+        passMilliseconds: Double? = null,
+    ): SwitchResult {
         val before = reports() ?: return SwitchResult.ABANDONED
         if (!before.values.all { it.isClean }) return SwitchResult.UNSETTLED
         val wanted = newVersion(highestVersion(before.values)).also { version = it }
@@ -66,7 +74,7 @@
         if (!isTaken) return SwitchResult.ABANDONED
         delay(copyMilliseconds)
         val latest = reports()?.values?.maxOf { it.step.value } ?: return SwitchResult.ABANDONED
-        val held = hold(latest)
+        val held = hold(latest, passMilliseconds)
         return when (held.answer) {
             OrderAnswer.ACCEPTED ->
                 if (armAndRelease(
@@ -89,10 +97,12 @@
     private class HeldStep(val step: Step, val answer: OrderAnswer)
 
     /** Holds the group at a pass soon after [latest], which it may have passed by now. */
-    private suspend fun hold(latest: Long): HeldStep {
+    private suspend fun hold(latest: Long, passMilliseconds: Double?): HeldStep {
+        val soonest = passMilliseconds?.let { 2 + (REPORT_AGE_MILLISECONDS / it).toLong() }
+        val ahead = minOf(soonest ?: MOST_AHEAD, MOST_AHEAD)
         var held = HeldStep(Step(latest), OrderAnswer.CONFLICT)
-        for (ahead in passesAhead) {
-            val step = Step(latest + ahead)
+        for (times in holdAttempts) {
+            val step = Step(latest + times * ahead)
             held = HeldStep(step, give(holder, RankOrder.Hold(step)))
             if (held.answer != OrderAnswer.CONFLICT) break
         }
@@ -105,15 +115,14 @@
         val isArmed = inParallel(ranks) { armOnceLoaded(it, RankOrder.Arm(wanted, step)) }
         // Reports of before the switch step would look like those of a group at rest.
         return isArmed && release(holder, step) &&
-            awaitAll(PASS_MILLISECONDS) { it.mapVersion == wanted } != null
+            awaitAll(SWITCH_MILLISECONDS) { it.mapVersion == wanted } != null
     }
 
     /** Ends a switch that was left half done; true when no rank is held or armed any more. */
     public suspend fun recover(): Boolean {
         val found = reports() ?: return false
         if (found.values.all { it.isClean }) return true
-        val isWhole = found.values.map { it.armed }.distinct().let { it.size == 1 && it[0] != null }
-        val isSafe = isWhole || cleanUp(found)
+        val isSafe = found.values.isArmedAlike || cleanUp(found)
         return isSafe && inParallel(ranks) { rank ->
             found.getValue(rank).heldAt?.let { release(rank, it) } ?: true
         }
@@ -229,15 +238,24 @@
     ): Boolean = coroutineScope { some.map { async { block(it) } }.awaitAll().all { it } }
 
     private companion object {
-        /** Passes from the last report to the switch; reports are a few passes old. */
-        val passesAhead = listOf(4L, 8L, 14L)
+        /** Passes from the last report to the switch; with slow passes fewer begin meanwhile. */
+        const val MOST_AHEAD = 4L
+
+        /** An attempt to hold the group may come after its pass; each later one looks further. */
+        val holdAttempts = listOf(1L, 2L, 4L)
+
+        /** Age of a report and the time of an order. */
+        const val REPORT_AGE_MILLISECONDS = 300L
 
         /** Longest time for which a group may be held because a copy takes longer than expected. */
         const val ARM_MILLISECONDS = 800L
         const val ARM_RETRY_MILLISECONDS = 30L
 
-        /** Longest time until the switch step; a busy group makes ten passes a second. */
-        const val PASS_MILLISECONDS = 1_500L
+        /**
+         * Longest time until the switch step of a group that is armed and free. Passes of a group
+         * with a rank that is twelve times slower last half a second.
+         */
+        const val SWITCH_MILLISECONDS = 5_000L
         const val POLL_MILLISECONDS = 150L
 
         /** Longest time for one order; one in three may stay without an answer. */
@@ -247,3 +265,7 @@
         const val REPORT_LAG_MILLISECONDS = 500L
     }
 }
+
+/** True when all ranks are armed with one version, so that they switch at the same pass. */
+internal val Collection<RankReport>.isArmedAlike: Boolean
+    get() = map { it.armed }.distinct().let { it.size == 1 && it.single() != null }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.vanilladale.core.gateway.FleetView
 import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.GroupPasses
 import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.gateway.PlacementCandidate
 import org.vanilladale.core.gateway.TargetDirectory
@@ -108,14 +109,14 @@
         }.map { (name, state) -> PoolWaiting(name, state.waiting) }
     }.flatten()
 
-    /** Returns how much longer than modelled the passes of [ranks] last; null when not seen. */
-    fun slowdownOrNull(pool: GatewayPool, ranks: List<KnownTarget>): Double? {
+    /** Returns how long the passes of [ranks], a group of [pool], last; null when not seen. */
+    fun passesOrNull(pool: GatewayPool, ranks: List<KnownTarget>): GroupPasses? {
         val engine = pool.engine ?: return null
         val ids = ranks.mapTo(HashSet()) { it.id }
         return withPool(pool.name) {
             val members =
                 candidates(this, pool.name, clock()).filter { it.target.id in ids }
-            slowdownOrNull(members, engine)
+            passesOrNull(members, engine)
         }
     }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -9,6 +9,7 @@
 import org.vanilladale.core.admission.QueuedRequest
 import org.vanilladale.core.gateway.EngineProfile
 import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.GroupPasses
 import org.vanilladale.core.gateway.HoldRule
 import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.gateway.PlacementCandidate
@@ -171,9 +172,9 @@
         }
     }
 
-    /** Returns how much longer than modelled the passes of [members] last; null when not seen. */
-    fun slowdownOrNull(members: List<PlacementCandidate>, engine: EngineProfile): Double? =
-        placement.slowdownOrNull(members, engine)
+    /** Returns how long the passes of [members], ranks of one group, last; null when not seen. */
+    fun passesOrNull(members: List<PlacementCandidate>, engine: EngineProfile): GroupPasses? =
+        placement.passesOrNull(members, engine)
 
     private fun place(waiter: Waiter, all: List<PlacementCandidate>, now: Timestamp): Place? {
         val request = waiter.request
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/ExpertMoverTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/ExpertMoverTest.kt
@@ -10,7 +10,9 @@
 import org.junit.jupiter.api.Test
 import org.vanilladale.core.gateway.EngineProfile
 import org.vanilladale.core.gateway.ExpertProfile
+import org.vanilladale.core.gateway.ExpertRole
 import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.gateway.GroupPasses
 import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.groupswitch.GroupSeat
 import org.vanilladale.core.groupswitch.OrderAnswer
@@ -36,13 +38,23 @@
     )
 
     /** Orders and reports of [group], whose ranks know their seats. */
-    private class SeatedGroup(val group: SimulatedGroup, private val id: GroupId) :
-        RankPort by group {
+    private class SeatedGroup(
+        val group: SimulatedGroup,
+        private val id: GroupId,
+        private val now: () -> Long,
+    ) : RankPort by group {
         val members = group.ranks.mapIndexed { rank, target ->
             val size = group.ranks.size
             target.copy(seat = GroupSeat(id, Rank(rank), size, SimulatedGroup.EPOCH, true))
         }
 
+        /** One expert of four gets most of the tokens. */
+        override suspend fun chosen(rank: KnownTarget): ChosenExperts {
+            delay(1)
+            val counts = listOf(8, 1, 1, 1).map { it * now() * CHOICES_OF_MILLISECOND }
+            return ChosenExperts(SimulatedGroup.EPOCH, Step(group.passes), counts)
+        }
+
         override suspend fun held(rank: KnownTarget) =
             HeldExperts(SimulatedGroup.EPOCH, 0, listOf(listOf(members.indexOf(rank))))
 
@@ -55,20 +67,25 @@
     private fun TestScope.seated(seed: Int): SeatedGroup {
         val group = SimulatedGroup(backgroundScope, Random(seed), 0.0) { currentTime }
         backgroundScope.launch { group.run() }
-        return SeatedGroup(group, groupId)
+        return SeatedGroup(group, groupId) { currentTime }
     }
 
-    private fun TestScope.mover(port: SeatedGroup, role: MoverRole) {
+    private fun TestScope.mover(
+        port: SeatedGroup,
+        passes: GroupPasses? = null,
+        seed: Int = 1,
+        role: () -> ExpertRole,
+    ) {
         val clock = { Timestamp.fromEpochMilliseconds(currentTime) }
         val mover = ExpertMover(
             port,
             { listOf(pool) },
             { mapOf(groupId to port.members) },
-            { _, _ -> null },
-            { role },
+            { _, _ -> passes },
+            role,
             GatewayLog(VmId.parse("vm-0"), EventLog({}, {}), clock),
             clock,
-            Random(1),
+            Random(seed),
         )
         backgroundScope.launch { mover.run(backgroundScope) }
     }
@@ -77,7 +94,7 @@
     fun `a group that a frozen leader left held goes on before callers leave`() = runTest {
         for (seed in 1..20) {
             val port = seated(seed)
-            mover(port, MoverRole.DEPUTY)
+            mover(port) { ExpertRole.DEPUTY }
             delay(2_000)
             val step = Step(port.group.passes + 3)
             val answer = port.order(port.members[2], RankOrder.Hold(step), SimulatedGroup.EPOCH)
@@ -92,14 +109,63 @@
     @Test
     fun `a deputy leaves a group alone that makes passes`() = runTest {
         val port = seated(1)
-        mover(port, MoverRole.DEPUTY)
+        mover(port) { ExpertRole.DEPUTY }
         delay(10_000)
         expectThat(port.group.passes).isGreaterThan(100)
         expectThat(port.group.used).isEqualTo(hashSetOf(0L))
     }
 
+    @Test
+    fun `entries that start together stop no stream of a group`() = runTest {
+        for (seed in 1..20) {
+            val port = seated(seed)
+            val startedAt = currentTime
+            // The shift of the demand has slowed the passes down to two and a half times as long.
+            val slow = GroupPasses(SimulatedGroup.PASS_MILLISECONDS * 2.5, 2.5)
+            val random = Random(seed)
+            repeat(5) { entry ->
+                val heardFrom = startedAt + random.nextLong(HEARD_MILLISECONDS)
+                mover(port, slow, seed * 10 + entry) {
+                    if (entry > 0 && currentTime >= heardFrom) {
+                        ExpertRole.NONE
+                    } else {
+                        ExpertRole.LEADER
+                    }
+                }
+            }
+            expectThat(longestPause(port.group, 8_000)).describedAs("seed $seed")
+                .isLessThan(PAUSE)
+            expectThat(port.group.mixedPasses).isEqualTo(0)
+            expectThat(port.group.used.size).isEqualTo(2)
+        }
+    }
+
+    /** Returns the longest time without a new pass in the next [milliseconds]. */
+    private suspend fun TestScope.longestPause(group: SimulatedGroup, milliseconds: Long): Long {
+        val end = currentTime + milliseconds
+        var passes = group.passes
+        var since = currentTime
+        var longest = 0L
+        while (currentTime < end) {
+            delay(10)
+            if (group.passes != passes) {
+                passes = group.passes
+                since = currentTime
+            }
+            longest = maxOf(longest, currentTime - since)
+        }
+        return longest
+    }
+
     private companion object {
         /** Callers leave a stream after two seconds without an event. */
         const val PATIENCE = 2_000L
+
+        /** One switch holds a group no longer than its ranks load copies. */
+        const val PAUSE = SimulatedGroup.MOST_COPY_MILLISECONDS
+
+        /** Entries that start together hear of each other within this time. */
+        const val HEARD_MILLISECONDS = 900L
+        const val CHOICES_OF_MILLISECOND = 10L
     }
 }
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/SimulatedGroup.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/SimulatedGroup.kt
@@ -167,12 +167,12 @@
     companion object {
         const val EPOCH = 1L
         private const val RANKS = 4
-        private const val PASS_MILLISECONDS = 60L
+        const val PASS_MILLISECONDS = 60L
         private const val LAG_MILLISECONDS = 300L
         private const val HISTORY = 20
         private const val ANSWER_MILLISECONDS = 120L
         private const val LEAST_LATE = 50L
         private const val MOST_LATE = 12_000L
-        private const val MOST_COPY_MILLISECONDS = 700L
+        const val MOST_COPY_MILLISECONDS = 700L
     }
 }
