--- a/operator/src/main/kotlin/org/vanilladale/operator/Main.kt
+++ b/operator/src/main/kotlin/org/vanilladale/operator/Main.kt
@@ -25,6 +25,7 @@
             ExplainCommand(),
             MetricsCommand(),
             StatusCommand(),
+            TraceCommand(),
         )
         .main(arguments)
 }
