End a watch of the store after 1.8 s, so that a silent one is found in time

Cause: connections may fall silent without a reset. A watch then lasted up to 8.4 s, while the entry counts as connected again after 3 s. All watches begin together after a change, so no peer needs to have news either. Why this works: a watch is over 2.2 s after its start at the latest, and the next one delivers what was missed.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
@@ -105,10 +105,10 @@
 
     private companion object {
         /**
-         * Limits the number of calls, which are charged for. Without a peer that has newer data, a
-         * watch that stopped delivering is detected after this time.
+         * An entry counts as connected again three seconds after its connections fell silent. By
+         * then a silent watch has ended, and the next one has delivered what it missed.
          */
-        const val WATCH_MILLISECONDS = 8_000L
+        const val WATCH_MILLISECONDS = 1_800L
 
         /** A tenth of the time within which a change has to take effect. */
         const val BURST_MILLISECONDS = 150L
