Keep unlisted targets only after an outage in which registrations can lapse

Cause: any failed call to the store, even one, started the two seconds for which targets that are no longer listed stay in use. They then got requests for over two seconds after the removal, and may be gone by then. Evidence: StoreWatcherTest, a target that is removed while one call fails gets no requests after its drain time: failed before. A second test holds the grace period after an outage of 4 s. Why this works: a registration lapses after three heartbeat intervals, the last one of which may be almost an interval old, so a shorter pause cannot have removed a live target.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
@@ -27,6 +27,7 @@
     private val refreshRequests = Channel<Unit>(Channel.CONFLATED)
     private var position: Revision? = null
     private var failures = 0
+    private var lastAnswerAt = clock()
     private var graceUntil: Deadline = clock().deadlineAfter(0)
 
     /** Queries the store again immediately because a peer has a newer revision. */
@@ -80,9 +81,14 @@
     }
 
     private fun handleSuccess() {
+        val now = clock()
+        val pause = now.millisecondsSince(lastAnswerAt)
+        lastAnswerAt = now
         if (failures == 0) return
         failures = 0
-        graceUntil = clock().deadlineAfter(TargetDirectory.DEFAULT_GRACE_MILLISECONDS)
+        if (pause >= MIN_LAPSE_MILLISECONDS) {
+            graceUntil = now.deadlineAfter(TargetDirectory.DEFAULT_GRACE_MILLISECONDS)
+        }
         log.log(GatewayEvent.StoreState("regained", position?.value))
     }
 
@@ -123,5 +129,11 @@
         /** Limits the timeout to 1.6 s. Dependent components do not tolerate a slower store. */
         const val MAX_TIMEOUT_DOUBLINGS = 2
         const val MAX_RETRY_DELAY_DOUBLINGS = 3
+
+        /**
+         * Registrations lapse after three intervals of 1.2 s without a heartbeat. The last one
+         * before an outage may be almost an interval old.
+         */
+        const val MIN_LAPSE_MILLISECONDS = 2_400L
     }
 }
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/StoreWatcherTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/StoreWatcherTest.kt
@@ -19,6 +19,7 @@
 import org.vanilladale.schema.Timestamp
 import org.vanilladale.schema.VmId
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
@@ -135,16 +136,48 @@
             expectThat(directory.use { it.placeable }).isEmpty()
         }
 
+    @Test
+    fun `a target that is removed while one call fails gets no requests after its drain time`() =
+        runTest {
+            val store = OneTargetStore({ currentTime }, failing = 1_790L..1_900L)
+            val directory = Locked(TargetDirectory())
+            startWatcher(store, directory)
+            delay(1_850)
+            store.set(null)
+            delay(DRAIN_MILLISECONDS)
+            expectThat(directory.usableNow(currentTime)).isEmpty()
+        }
+
+    @Test
+    fun `a target whose registration lapsed in an outage is used until it can be back`() = runTest {
+        val store = OneTargetStore({ currentTime }, failing = 1_790L..6_000L)
+        val directory = Locked(TargetDirectory())
+        startWatcher(store, directory)
+        delay(5_000)
+        store.set(null)
+        delay(2_500)
+        expectThat(directory.usableNow(currentTime)).hasSize(1)
+        delay(2_000)
+        expectThat(directory.usableNow(currentTime)).isEmpty()
+    }
+
+    private fun Locked<TargetDirectory>.usableNow(milliseconds: Long) =
+        use { it.usable(POOL, Timestamp.fromEpochMilliseconds(milliseconds)) }
+
     private companion object {
         const val STORE_STEP_MILLISECONDS = 5L
 
         /** Time of the platform after which an entry whose connections failed counts again. */
         const val CONTACT_MILLISECONDS = 3_000L
+
+        /** Time of the platform for which a target that leaves goes on serving. */
+        const val DRAIN_MILLISECONDS = 2_000L
+        val POOL = PoolName.parse("desk")
         val TARGET = TargetId.parse("i-1")
 
         fun targetOf(leaving: Boolean) = KnownTarget(
             TARGET,
-            PoolName.parse("desk"),
+            POOL,
             SocketAddressText.parse("10.0.0.1:80"),
             null,
             1,
