Refuse unknown keys and routes as not run while a peer has a newer configuration

Cause: an entry judged by the configuration it had, although heartbeats told it that a peer had a newer one. Change: such a request is answered 503 with a time to return, so the caller goes to another entry.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -112,7 +112,7 @@
             if (shared.drain.refusesRequests) {
                 exchange.refuse(Refusal(RefusalReason.LEAVING))
             } else {
-                shared.admission.admit(head).fold(exchange::refuse, exchange::readBody)
+                shared.admission.admit(head, arrivedAt).fold(exchange::refuse, exchange::readBody)
             }
         }
     }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -99,7 +99,7 @@
     private val budget = FleetRetryBudget(settings, fleet, clock)
     private val answerBuffers =
         BufferBudget(Runtime.getRuntime().maxMemory() / ANSWER_BUFFER_DIVISOR)
-    private val admission = RequestAdmission({ storeCache.tables }, random)
+    private val admission = RequestAdmission({ storeCache.tables }, ::isOutdated, random)
 
     private val mover = ExpertMover(
         builder.ranks(vertx),
@@ -331,11 +331,13 @@
 
     private fun peerUpdated() {
         dispatcher.retryWaiting()
-        val newest = fleet.use { it.highestTablesRevision } ?: return
-        val current = storeCache.tables?.revision
-        if (current != null && newest > current) storeWatcher.refresh()
+        if (storeCache.tables?.let(::isOutdated) == true) storeWatcher.refresh()
     }
 
+    /** Returns whether a live peer has a newer configuration than [tables]. */
+    private fun isOutdated(tables: GatewayTables): Boolean =
+        fleet.use { it.highestTablesRevision }?.let { it > tables.revision } == true
+
     private fun targetsChanged(gone: List<TargetId>) {
         dispatcher.forgetTargets(gone)
         dispatcher.retryWaiting()
