Take no refusal for this request that names another one

What callers saw at similar systems: an earlier refusal, written once more, told them not run for a request that had run, or it was sent to a second target. Cause: the head of an answer was searched for not-run and wrong-target before it was compared with the id of the request. Evidence: PlatformPathTest, an earlier refusal that is written again does not count as a refusal of this request: before, the order went to the second target and the caller got 503. Now it is sent once and answered 502. Each attempt has a connection of its own, so a faulty target has to write the refusal there; a refusal without any id still counts.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -79,6 +79,10 @@
     ): AttemptResult {
         val head = dialect.readAnswerHead(response, attempt.request.head.request)
         return when {
+            // Nothing in the answer to another request, such as "not run", holds for this one.
+            head.namesOtherRequest ->
+                AttemptResult.Failed(AttemptEnd.BROKEN, "the answer to another request")
+
             head.isOtherTarget -> AttemptResult.Failed(AttemptEnd.WRONG_TARGET, "another target")
 
             head.isNotRun -> AttemptResult.Failed(AttemptEnd.REJECTED, "status ${head.status}")
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
@@ -4,6 +4,7 @@
  * Head of a target's answer, independent of the protocol.
  *
  * @property echoesRequest whether the answer contains the id of the request that was sent
+ * @property namesOtherRequest whether the answer contains the id of another request
  * @property isSigned whether the answer comes from the service itself
  * @property isNotRun whether the target states that it did not run the request
  * @property isOtherTarget whether the address belongs to another target than the expected one
@@ -12,6 +13,7 @@
 public data class TargetHead(
     val status: Int,
     val echoesRequest: Boolean,
+    val namesOtherRequest: Boolean,
     val isSigned: Boolean,
     val isNotRun: Boolean,
     val isOtherTarget: Boolean,
