Accept only IPv4 numbers of at most 255 in addresses

Cause: OddStoreEntryTest reads entries of another writer in the place of replicas, on a thread with the 256 KB stack of an entry: nested 100,000 deep, numbers and ports out of range, unknown states, cut off. Only one of 16 became a target, the address 999.0.0.1. It would have taken attempts that reach nobody. Change: each number of an IPv4 address is checked. No other entry was lost in any case, and no read failed.

--- a/schema/src/main/kotlin/org/vanilladale/schema/SocketAddressText.kt
+++ b/schema/src/main/kotlin/org/vanilladale/schema/SocketAddressText.kt
@@ -25,7 +25,8 @@
     public companion object {
         private const val MAXIMUM_LENGTH = 64
         private const val HIGHEST_PORT = 65_535
-        private val ipNumber = Regex("""\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+]""")
+        private const val OCTET = """(25[0-5]|2[0-4]\d|1?\d{1,2})"""
+        private val ipNumber = Regex("""$OCTET(\.$OCTET){3}|\[[0-9a-fA-F:.]+]""")
 
         private fun isSocketAddress(text: String): Boolean {
             val port = text.substringAfterLast(':', "").toIntOrNull() ?: return false
