Hold back parts of prompts with which targets crashed

Cause: a part of a prompt may crash each target that begins to answer it. The gateway remembered nothing of a crash, sent the request to a second target at once, and no entry learned from the crashes of another. Change: PartSuspects in core/crash. A part is suspect when a target closed the connection before the first event of a request with it, and no target has answered a request with it since. It rests for 1.5 s, one request at a time tries it, a second crash in a row holds it back for 30 s, and any answer clears it. Parts that targets answered before need one crash more, so that those which sound prompts share stay in use. Heartbeats carry crashes and answers to all entries. Refused requests get 503 with the time of the next trial: they have not run. A request whose own attempt ended so is answered 502.

--- /dev/null
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/PartRecord.kt
@@ -0,0 +1,61 @@
+package org.vanilladale.core.crash
+
+import kotlin.math.abs
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Timestamp
+
+/**
+ * Crashes of targets with one part of prompts, and the first answer to a prompt with it since.
+ *
+ * @property crashes times of the crashes in ascending order. Crashes close together count as one:
+ *   the part may be in several prompts at the time of the first, and a rank that ends stops the
+ *   others of its group.
+ */
+internal data class PartRecord(
+    val crashes: List<Timestamp> = emptyList(),
+    val answeredAt: Timestamp? = null,
+) {
+    fun withCrash(at: Timestamp): PartRecord {
+        val isKnown = crashes.any { abs(it.millisecondsSince(at)) < INCIDENT_MILLISECONDS }
+        return if (isKnown) this else copy(crashes = (crashes + at).sorted().takeLast(MAX_CRASHES))
+    }
+
+    /** Adds an answer. One that ends no suspicion is left out, since other entries need not know. */
+    fun withAnswer(at: Timestamp): PartRecord {
+        val isNews = answeredAt == null || crashes.any { it > answeredAt && it < at }
+        return if (isNews) copy(answeredAt = at) else this
+    }
+
+    /** Returns the time until which the part rests, or null if it is not suspect. */
+    fun restsUntilOrNull(): Deadline? {
+        val open = crashes.filter { answeredAt == null || it > answeredAt }
+        val level = if (answeredAt == null) open.size else open.size - 1
+        val last = open.lastOrNull()
+        if (last == null || level < 1) return null
+        if (level == 1) return last.deadlineAfter(INCIDENT_MILLISECONDS)
+        return last.deadlineAfter(CONVICTED_REST_MILLISECONDS shl (level - 2))
+    }
+
+    /** Whether other entries may not know the record yet, or need it after a restart. */
+    fun isNews(now: Timestamp): Boolean {
+        val changedAt = listOfNotNull(crashes.lastOrNull(), answeredAt).maxOrNull()
+        return restsUntilOrNull() != null ||
+            changedAt != null && now.millisecondsSince(changedAt) < NEWS_MILLISECONDS
+    }
+
+    fun isForgotten(now: Timestamp): Boolean =
+        crashes.lastOrNull()?.let { now.millisecondsSince(it) >= LIFETIME_MILLISECONDS } != false
+
+    companion object {
+        /** Time after the first crash in which requests that were in flight then may crash more. */
+        const val INCIDENT_MILLISECONDS = 1_500L
+
+        /** Time until a part that crashed targets twice in a row is tried again. */
+        private const val CONVICTED_REST_MILLISECONDS = 30_000L
+        private const val LIFETIME_MILLISECONDS = 600_000L
+
+        /** Several heartbeats, since some may be lost. */
+        private const val NEWS_MILLISECONDS = 5_000L
+        private const val MAX_CRASHES = 8
+    }
+}
--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
@@ -112,6 +112,12 @@
         RunState.NO,
         "The request runs alone because a target crashed with it; retry after the given time.",
     ),
+    SUSPECT_PART(
+        "suspect-part",
+        503,
+        RunState.NO,
+        "Targets crashed with a part of this prompt; retry after the given time or without it.",
+    ),
     TARGET_FAILED("target-failed", 502, RunState.UNKNOWN, "Retry; operators check the target."),
     ANSWER_INTERRUPTED(
         "answer-interrupted",
--- /dev/null
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/PartSuspectsTest.kt
@@ -0,0 +1,108 @@
+package org.vanilladale.core.crash
+
+import org.junit.jupiter.api.Test
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.PrefixId
+import org.vanilladale.schema.SuspectPart
+import org.vanilladale.schema.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+class PartSuspectsTest {
+    private val suspects = PartSuspects()
+    private val shared = PrefixId.parse("shared")
+    private val rare = PrefixId.parse("rare")
+
+    private fun at(milliseconds: Long) = Timestamp.fromEpochMilliseconds(milliseconds)
+
+    private fun PartSuspects.refusalAt(part: PrefixId, milliseconds: Long) =
+        refusalOrNull(listOf(part), at(milliseconds))
+
+    @Test
+    fun `a part that no target has answered rests after a crash, and the refusal says how long`() {
+        suspects.recordCrash(listOf(rare), at(0))
+        expectThat(suspects.refusalAt(rare, 100)).isNotNull().and {
+            get { reason }.isEqualTo(RefusalReason.SUSPECT_PART)
+            get { retryAt }.isEqualTo(at(0).deadlineAfter(1_500))
+        }
+        expectThat(suspects.refusalAt(rare, 1_500)).isNull()
+    }
+
+    @Test
+    fun `one request at a time tries a suspect part, and an answer ends the suspicion`() {
+        suspects.recordCrash(listOf(rare), at(0))
+        val tried = suspects.begin(listOf(shared, rare), at(2_000)).getOrNull()
+        expectThat(tried).isEqualTo(setOf(rare))
+        expectThat(suspects.begin(listOf(rare), at(2_100)).getOrNull()).isNull()
+        suspects.recordAnswer(listOf(shared, rare), at(2_200))
+        expectThat(suspects.begin(listOf(rare), at(2_200)).getOrNull()).isEqualTo(emptySet())
+    }
+
+    @Test
+    fun `a trial that ends without an answer or a crash leaves room for the next one`() {
+        suspects.recordCrash(listOf(rare), at(0))
+        suspects.begin(listOf(rare), at(2_000)).onRight(suspects::end)
+        expectThat(suspects.begin(listOf(rare), at(2_100)).getOrNull()).isEqualTo(setOf(rare))
+    }
+
+    @Test
+    fun `a refusal for one part leaves the trial of another one free`() {
+        val resting = PrefixId.parse("resting")
+        suspects.recordCrash(listOf(rare), at(0))
+        suspects.recordCrash(listOf(resting), at(1_000))
+        expectThat(suspects.begin(listOf(rare, resting), at(2_000)).getOrNull()).isNull()
+        expectThat(suspects.begin(listOf(rare), at(2_000)).getOrNull()).isEqualTo(setOf(rare))
+    }
+
+    @Test
+    fun `a second crash in a row convicts a part for longer, and each further one doubles that`() {
+        listOf(0L, 2_000L, 40_000L).forEach { suspects.recordCrash(listOf(rare), at(it)) }
+        expectThat(suspects.refusalAt(rare, 99_999)).isNotNull()
+        expectThat(suspects.refusalAt(rare, 100_000)).isNull()
+    }
+
+    @Test
+    fun `one crash is no reason to hold back a part that targets have answered before`() {
+        suspects.recordAnswer(listOf(shared), at(0))
+        suspects.recordCrash(listOf(shared, rare), at(1_000))
+        expectThat(suspects.refusalAt(shared, 1_001)).isNull()
+        expectThat(suspects.refusalAt(rare, 1_001)).isNotNull()
+    }
+
+    @Test
+    fun `crashes of one incident count once`() {
+        listOf(0L, 400L, 900L).forEach { suspects.recordCrash(listOf(rare), at(it)) }
+        expectThat(suspects.refusalAt(rare, 1_500)).isNull()
+    }
+
+    @Test
+    fun `an entry learns of crashes and answers by the reports of others`() {
+        val peer = PartSuspects()
+        suspects.recordCrash(listOf(rare), at(0))
+        repeat(3) { peer.merge(suspects.reports(at(50)), at(10_060)) }
+        expectThat(peer.refusalAt(rare, 10_100)).isNotNull()
+        peer.recordAnswer(listOf(rare), at(10_200))
+        suspects.merge(peer.reports(at(10_210)), at(220))
+        expectThat(suspects.refusalAt(rare, 230)).isNull()
+    }
+
+    @Test
+    fun `a report of a crash before the last answer here raises no suspicion`() {
+        suspects.recordAnswer(listOf(rare), at(1_000))
+        suspects.merge(listOf(SuspectPart(rare, listOf(200, 5_000), null)), at(1_100))
+        expectThat(suspects.refusalAt(rare, 1_100)).isNull()
+    }
+
+    @Test
+    fun `reports stay small, and end when a part is no longer suspect`() {
+        val parts = List(10_000) { PrefixId.parse("part-$it") }
+        suspects.recordCrash(parts, at(0))
+        expectThat(suspects.reports(at(0)).size).isLessThanOrEqualTo(32)
+        suspects.recordAnswer(parts, at(1))
+        expectThat(suspects.reports(at(60_000))).isEmpty()
+    }
+}
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
@@ -15,9 +15,14 @@
     /**
      * The caller has not received a complete answer.
      *
+     * @property targetClosed whether the target closed or reset the connection
      * @property answer error answer of the target, which the caller receives if no other attempt
      *   follows
      */
-    class Failed(val end: AttemptEnd, val detail: String, val answer: BufferedAnswer? = null) :
-        AttemptResult
+    class Failed(
+        val end: AttemptEnd,
+        val detail: String,
+        val answer: BufferedAnswer? = null,
+        val targetClosed: Boolean = false,
+    ) : AttemptResult
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -16,6 +16,8 @@
  * Runs one attempt at one target and relays its answer to the caller.
  *
  * @param buffers memory for the plain answers of all attempts
+ * @param onFirstEvent called for the first event of each attempt
+ * @param onGap called for the pause before each further event
  */
 internal class AttemptRunner(
     private val client: HttpClient,
@@ -23,6 +25,7 @@
     private val timeouts: AttemptTimeouts,
     private val buffers: BufferBudget,
     private val clock: () -> Timestamp,
+    private val onFirstEvent: (ForwardedRequest) -> Unit,
     private val onGap: (ForwardedRequest, KnownTarget, Long) -> Unit,
 ) {
     /** Runs an attempt. [progress] is null unless the route is a stream. */
@@ -43,7 +46,7 @@
                 ?: return AttemptResult.Failed(AttemptEnd.SILENT, "no answer within $timeout ms")
             handleResponse(Attempt(request, target, exchange, mayRepeat), head, progress, answer)
         } catch (broken: TargetExchangeException) {
-            AttemptResult.Failed(AttemptEnd.BROKEN, broken.message.orEmpty())
+            AttemptResult.Failed(AttemptEnd.BROKEN, broken.message.orEmpty(), targetClosed = true)
         } finally {
             exchange.close()
         }
@@ -211,6 +214,7 @@
 
         private fun recordProgress(event: StreamEvent) {
             val gap = progress.recordEvent(event.id, clock())
+            if (isFirstEvent) onFirstEvent(attempt.request)
             if (gap != null && !isFirstEvent) onGap(attempt.request, attempt.target, gap)
             isFirstEvent = false
             val timeout = timeouts.nextEvent(attempt.request, attempt.mayRepeat)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -16,6 +16,7 @@
     private val dispatcher: PoolDispatcher,
     private val attempts: AttemptRunner,
     private val budget: FleetRetryBudget,
+    private val suspects: PromptPartWatch,
     private val log: GatewayLog,
     private val metrics: GatewayMetrics,
     private val clock: () -> Timestamp,
@@ -43,13 +44,25 @@
         val state = ForwardingState(request)
         budget.countRequest(request.pool.name)
         while (true) {
+            // A caller that has part of the answer has proof that the prompt crashes no target.
+            val parts = if (answer.isStarted) emptySet() else request.head.sharedParts
+            suspects.refusalOrNull(parts)?.let { return finish(state, it, answer) }
             val waitedFrom = clock()
             val slot = dispatcher.acquire(request, state.tried, answer.isStarted)
                 .getOrElse { return finish(state, it, answer) }
             val waitedMilliseconds = clock().millisecondsSince(waitedFrom)
             metrics.recordWait(waitedMilliseconds)
+            // A target may have crashed during the wait.
+            val trial = suspects.begin(parts).getOrElse {
+                dispatcher.release(request.pool.name, slot.target.id, clock())
+                return finish(state, it, answer)
+            }
             logPlaced(state, slot, waitedMilliseconds)
-            val failed = attempt(state, slot, answer) ?: return null
+            val failed = try {
+                attempt(state, slot, answer) ?: return null
+            } finally {
+                suspects.end(trial)
+            }
             val refusal = decide(state, failed)
             if (refusal != null) return finish(state, refusal, answer)
         }
@@ -64,6 +77,7 @@
         val request = state.request
         val target = slot.target
         val startedAt = clock()
+        val eventsBefore = state.progress?.events
         val result = try {
             attempts.run(request, target, state.mayRepeat, state.progress, answer)
         } finally {
@@ -74,12 +88,16 @@
         return when (result) {
             is AttemptResult.Delivered -> {
                 dispatcher.observe(request.pool.name) { recordSuccess(target.id) }
+                suspects.recordAnswer(request)
                 logAnswered(state, target.id, result.status)
                 null
             }
 
             is AttemptResult.Failed -> {
                 if (!result.end.provenNotRun) state.possibleRuns++
+                if (result.targetClosed && state.progress?.events == eventsBefore) {
+                    suspects.recordCrash(request)
+                }
                 if (result.answer != null) state.answer = result.answer
                 dispatcher.observe(request.pool.name) { now ->
                     recordFailure(result.end, target.id, now)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.vanilladale.core.admission.BufferBudget
+import org.vanilladale.core.crash.PartSuspects
 import org.vanilladale.core.gateway.AddressCandidate
 import org.vanilladale.core.gateway.CallerAddresses
 import org.vanilladale.core.gateway.CallerFacingEntries
@@ -99,6 +100,9 @@
     private val budget = FleetRetryBudget(settings, fleet, clock)
     private val answerBuffers =
         BufferBudget(Runtime.getRuntime().maxMemory() / ANSWER_BUFFER_DIVISOR)
+    private val suspects = PromptPartWatch(PartSuspects(), log, metrics, clock) {
+        heartbeats.send()
+    }
     private val admission = RequestAdmission({ storeCache.tables }, ::isOutdated, random)
 
     private val mover = ExpertMover(
@@ -129,6 +133,7 @@
         log,
         clock,
         random,
+        suspects::merge,
         ::peerUpdated,
     )
 
@@ -256,11 +261,12 @@
             AttemptTimeouts(clock),
             answerBuffers,
             clock,
+            suspects::recordAnswer,
         ) { request, target, gap ->
             metrics.recordGap(gap)
             dispatcher.observe(request.pool.name) { now -> recordGap(target.id, gap, now) }
         }
-        return Forwarder(dispatcher, attempts, budget, log, metrics, clock)
+        return Forwarder(dispatcher, attempts, budget, suspects, log, metrics, clock)
     }
 
     /** Returns the caller-facing entries among this one and the live peers that serve. */
@@ -321,6 +327,7 @@
         dispatcher.waiting(),
         peers,
         interval,
+        suspects.reports(),
     )
 
     private fun expertRole(): ExpertRole = if (isReady) {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -124,6 +124,15 @@
     public data class CallerDisconnected(val request: String, val afterMilliseconds: Long) :
         GatewayEvent
 
+    /**
+     * Targets crashed with [part] of prompts, or a target answered a prompt with it again. [state]
+     * is `suspect` or `cleared`.
+     */
+    @Serializable
+    @SerialName("prompt-part")
+    public data class PromptPartState(val part: String, val state: String, val request: String) :
+        GatewayEvent
+
     /** This process became the leader that moves the experts of a pool, or ceased to be. */
     @Serializable
     @SerialName("expert-lead")
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/StreamProgress.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/StreamProgress.kt
@@ -11,6 +11,10 @@
 internal class StreamProgress(var lastEvent: Long?) {
     var firstEventAt: Timestamp? = null
         private set
+
+    /** Number of events delivered over all attempts. */
+    var events = 0
+        private set
     var longestGapMilliseconds = 0L
         private set
     private var previousEventAt: Timestamp? = null
@@ -22,6 +26,7 @@
     fun recordEvent(id: Long?, now: Timestamp): Long? {
         val gap = previousEventAt?.let { now.millisecondsSince(it) }
         if (gap != null && gap > longestGapMilliseconds) longestGapMilliseconds = gap
+        events++
         if (firstEventAt == null) firstEventAt = now
         previousEventAt = now
         if (id != null) lastEvent = id
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/PeerHeartbeatsTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/PeerHeartbeatsTest.kt
@@ -64,6 +64,7 @@
             GatewayLog(VmId.parse("own"), EventLog({}, {}), ::steadyNow),
             ::steadyNow,
             Random(1),
+            {},
         ) {}
         runBlocking(scope.coroutineContext) { heartbeats.start(scope) }
         val bytes = FrameCodec.encode(heartbeat("peer", address, TARGETS))
