Continue a broken stream only with a stream

What callers saw at similar systems: a stream broke off, the next replica answered with something else, and its text stood in the middle of their stream. Cause: an error of the second replica was kept out, but any success was relayed, also one whose Content-Type says that it is no stream of events; if it held an empty line, its text was passed on as an event and the stream ended as complete. Evidence: BrokenAnswerTest, a success that is no stream does not continue one: failed before. Its other cases passed before as well: errors stay out of a broken stream, a stream without length that ends within an event is continued, an answer without length is complete when it is closed and not when it is reset.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -96,6 +96,9 @@
             head.isSuccess && !head.isSigned ->
                 AttemptResult.Failed(AttemptEnd.BROKEN, "success without a signature")
 
+            head.isSuccess && head.isOtherMedia && answer.isStarted ->
+                AttemptResult.Failed(AttemptEnd.BROKEN, "no stream in answer to a resume")
+
             head.isSuccess && progress != null -> relay(attempt, response, progress, answer)
 
             progress != null && answer.isStarted -> {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
@@ -8,6 +8,7 @@
  * @property isSigned whether the answer comes from the service itself
  * @property isNotRun whether the target states that it did not run the request
  * @property isOtherTarget whether the address belongs to another target than the expected one
+ * @property isOtherMedia whether the answer states that its body is no stream of events
  * @property isEncoded whether the body has a content encoding that was not requested
  */
 public data class TargetHead(
@@ -17,6 +18,7 @@
     val isSigned: Boolean,
     val isNotRun: Boolean,
     val isOtherTarget: Boolean,
+    val isOtherMedia: Boolean,
     val isEncoded: Boolean,
 ) {
     /** True for a status that indicates success. */
