Recognise requests that crash targets by their whole content too

What callers would see: a request that crashes each target that runs it comes again with the same path, caller and body, at any entry. The gateway remembered the shared parts of prompts only, so plain requests crashed one target after the other. Cause: the same as for parts of prompts; found by looking for it elsewhere. Change: TraitSuspects (before: PartSuspects) keeps traits of requests: each shared part of the prompt and a digest of caller, method, path and body.

--- a/core/src/main/kotlin/org/vanilladale/core/crash/PartRecord.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitRecord.kt
@@ -5,28 +5,28 @@
 import org.vanilladale.schema.Timestamp
 
 /**
- * Crashes of targets with one part of prompts, and the first answer to a prompt with it since.
+ * Crashes of targets with one trait of requests, and the first answer to one with it since.
  *
  * @property crashes times of the crashes in ascending order. Crashes close together count as one:
- *   the part may be in several prompts at the time of the first, and a rank that ends stops the
+ *   several requests may have the trait at the time of the first, and a rank that ends stops the
  *   others of its group.
  */
-internal data class PartRecord(
+internal data class TraitRecord(
     val crashes: List<Timestamp> = emptyList(),
     val answeredAt: Timestamp? = null,
 ) {
-    fun withCrash(at: Timestamp): PartRecord {
+    fun withCrash(at: Timestamp): TraitRecord {
         val isKnown = crashes.any { abs(it.millisecondsSince(at)) < INCIDENT_MILLISECONDS }
         return if (isKnown) this else copy(crashes = (crashes + at).sorted().takeLast(MAX_CRASHES))
     }
 
     /** Adds an answer. One that ends no suspicion is left out, since other entries need not know. */
-    fun withAnswer(at: Timestamp): PartRecord {
+    fun withAnswer(at: Timestamp): TraitRecord {
         val isNews = answeredAt == null || crashes.any { it > answeredAt && it < at }
         return if (isNews) copy(answeredAt = at) else this
     }
 
-    /** Returns the time until which the part rests, or null if it is not suspect. */
+    /** Returns the time until which the trait rests, or null if it is not suspect. */
     fun restsUntilOrNull(): Deadline? {
         val open = crashes.filter { answeredAt == null || it > answeredAt }
         val level = if (answeredAt == null) open.size else open.size - 1
@@ -50,7 +50,7 @@
         /** Time after the first crash in which requests that were in flight then may crash more. */
         const val INCIDENT_MILLISECONDS = 1_500L
 
-        /** Time until a part that crashed targets twice in a row is tried again. */
+        /** Time until a trait that crashed targets twice in a row is tried again. */
         private const val CONVICTED_REST_MILLISECONDS = 30_000L
         private const val LIFETIME_MILLISECONDS = 600_000L
 
--- a/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/refusal/RefusalReason.kt
@@ -112,11 +112,11 @@
         RunState.NO,
         "The request runs alone because a target crashed with it; retry after the given time.",
     ),
-    SUSPECT_PART(
-        "suspect-part",
+    SUSPECT_CONTENT(
+        "suspect-content",
         503,
         RunState.NO,
-        "Targets crashed with a part of this prompt; retry after the given time or without it.",
+        "Targets crashed with this content or a part of it; change it or retry after the time.",
     ),
     TARGET_FAILED("target-failed", 502, RunState.UNKNOWN, "Retry; operators check the target."),
     ANSWER_INTERRUPTED(
--- a/core/src/test/kotlin/org/vanilladale/core/crash/CrashingPartFleetTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/CrashingTraitFleetTest.kt
@@ -5,18 +5,19 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.vanilladale.schema.PrefixId
+import org.vanilladale.schema.RequestTrait
 import org.vanilladale.schema.Timestamp
 import strikt.api.expectThat
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 
 /** Guards against a part of prompts that crashes one target after the other, at any entry. */
-class CrashingPartFleetTest {
+class CrashingTraitFleetTest {
     /** Entries that exchange reports with a delay, and requests at random ones of them. */
     private class Fleet(private val random: Random) {
         private class Event(val at: Long, val run: (Long) -> Unit)
 
-        private val entries = List(ENTRIES) { PartSuspects() }
+        private val entries = List(ENTRIES) { TraitSuspects() }
         private val events = PriorityQueue<Event>(compareBy { it.at })
         val crashes = ArrayList<Long>()
         val deadlySends = ArrayList<Long>()
@@ -38,7 +39,11 @@
             }
         }
 
-        private fun request(at: Long, parts: List<PrefixId>, deadlyFrom: Long = Long.MAX_VALUE) {
+        private fun request(
+            at: Long,
+            parts: List<RequestTrait>,
+            deadlyFrom: Long = Long.MAX_VALUE,
+        ) {
             val isSound = DEADLY !in parts
             if (isSound) soundRequests++
             val entry = entries.random(random)
@@ -58,7 +63,7 @@
             }
         }
 
-        private fun report(from: PartSuspects, now: Long) {
+        private fun report(from: TraitSuspects, now: Long) {
             val reports = from.reports(timestamp(now))
             entries.filter { it !== from }.forEach { entry ->
                 val arrivesAt = now + random.nextLong(1, MAX_DELAY_MILLISECONDS)
@@ -95,8 +100,8 @@
 
         /** Time of the platform from the fifth crash until further requests count. */
         const val CONTACT_MILLISECONDS = 3_000L
-        val FIRST = PrefixId.parse("first")
-        val DEADLY = PrefixId.parse("deadly")
-        val RARE = List(20) { PrefixId.parse("rare-$it") }
+        val FIRST = RequestTrait.ofPart(PrefixId.parse("first"))
+        val DEADLY = RequestTrait.ofPart(PrefixId.parse("deadly"))
+        val RARE = List(20) { RequestTrait.ofPart(PrefixId.parse("rare-$it")) }
     }
 }
--- a/core/src/test/kotlin/org/vanilladale/core/crash/PartSuspectsTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/TraitSuspectsTest.kt
@@ -3,7 +3,8 @@
 import org.junit.jupiter.api.Test
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.schema.PrefixId
-import org.vanilladale.schema.SuspectPart
+import org.vanilladale.schema.RequestTrait
+import org.vanilladale.schema.SuspectTrait
 import org.vanilladale.schema.Timestamp
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
@@ -12,21 +13,21 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 
-class PartSuspectsTest {
-    private val suspects = PartSuspects()
-    private val shared = PrefixId.parse("shared")
-    private val rare = PrefixId.parse("rare")
+class TraitSuspectsTest {
+    private val suspects = TraitSuspects()
+    private val shared = RequestTrait.ofPart(PrefixId.parse("shared"))
+    private val rare = RequestTrait.ofPart(PrefixId.parse("rare"))
 
     private fun at(milliseconds: Long) = Timestamp.fromEpochMilliseconds(milliseconds)
 
-    private fun PartSuspects.refusalAt(part: PrefixId, milliseconds: Long) =
+    private fun TraitSuspects.refusalAt(part: RequestTrait, milliseconds: Long) =
         refusalOrNull(listOf(part), at(milliseconds))
 
     @Test
     fun `a part that no target has answered rests after a crash, and the refusal says how long`() {
         suspects.recordCrash(listOf(rare), at(0))
         expectThat(suspects.refusalAt(rare, 100)).isNotNull().and {
-            get { reason }.isEqualTo(RefusalReason.SUSPECT_PART)
+            get { reason }.isEqualTo(RefusalReason.SUSPECT_CONTENT)
             get { retryAt }.isEqualTo(at(0).deadlineAfter(1_500))
         }
         expectThat(suspects.refusalAt(rare, 1_500)).isNull()
@@ -51,7 +52,7 @@
 
     @Test
     fun `a refusal for one part leaves the trial of another one free`() {
-        val resting = PrefixId.parse("resting")
+        val resting = RequestTrait.ofPart(PrefixId.parse("resting"))
         suspects.recordCrash(listOf(rare), at(0))
         suspects.recordCrash(listOf(resting), at(1_000))
         expectThat(suspects.begin(listOf(rare, resting), at(2_000)).getOrNull()).isNull()
@@ -81,7 +82,7 @@
 
     @Test
     fun `an entry learns of crashes and answers by the reports of others`() {
-        val peer = PartSuspects()
+        val peer = TraitSuspects()
         suspects.recordCrash(listOf(rare), at(0))
         repeat(3) { peer.merge(suspects.reports(at(50)), at(10_060)) }
         expectThat(peer.refusalAt(rare, 10_100)).isNotNull()
@@ -93,13 +94,13 @@
     @Test
     fun `a report of a crash before the last answer here raises no suspicion`() {
         suspects.recordAnswer(listOf(rare), at(1_000))
-        suspects.merge(listOf(SuspectPart(rare, listOf(200, 5_000), null)), at(1_100))
+        suspects.merge(listOf(SuspectTrait(rare, listOf(200, 5_000), null)), at(1_100))
         expectThat(suspects.refusalAt(rare, 1_100)).isNull()
     }
 
     @Test
     fun `reports stay small, and end when a part is no longer suspect`() {
-        val parts = List(10_000) { PrefixId.parse("part-$it") }
+        val parts = List(10_000) { RequestTrait.ofPart(PrefixId.parse("part-$it")) }
         suspects.recordCrash(parts, at(0))
         expectThat(suspects.reports(at(0)).size).isLessThanOrEqualTo(32)
         suspects.recordAnswer(parts, at(1))
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
@@ -6,7 +6,11 @@
 import org.vanilladale.core.gateway.GatewayPool
 import org.vanilladale.core.gateway.GatewayRoute
 import org.vanilladale.core.gateway.GatewayWorkspace
+import org.vanilladale.core.hash.hexadecimalOf
+import org.vanilladale.core.hash.sha256OfFields
 import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Fingerprint
+import org.vanilladale.schema.RequestTrait
 import org.vanilladale.schema.Revision
 import org.vanilladale.schema.Timestamp
 
@@ -45,6 +49,15 @@
 
     val deadline: Deadline get() = times.deadline
 
+    /** Traits by which the request is recognized if targets crash with it. */
+    val traits: Set<RequestTrait> by lazy {
+        val caller = workspace?.id?.text.orEmpty()
+        val fields = listOf(caller, method.name(), uri).map { it.encodeToByteArray() } + body.bytes
+        val content = Fingerprint.parse(hexadecimalOf(sha256OfFields(fields)))
+        head.sharedParts.mapTo(LinkedHashSet(), RequestTrait::ofPart) +
+            RequestTrait.ofContent(content)
+    }
+
     /** Priority among waiting requests; 0 is the most urgent. */
     val priority: Int get() = workspace?.priority ?: route.priority
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -16,7 +16,7 @@
     private val dispatcher: PoolDispatcher,
     private val attempts: AttemptRunner,
     private val budget: FleetRetryBudget,
-    private val suspects: PromptPartWatch,
+    private val suspects: CrashWatch,
     private val log: GatewayLog,
     private val metrics: GatewayMetrics,
     private val clock: () -> Timestamp,
@@ -44,16 +44,16 @@
         val state = ForwardingState(request)
         budget.countRequest(request.pool.name)
         while (true) {
-            // A caller that has part of the answer has proof that the prompt crashes no target.
-            val parts = if (answer.isStarted) emptySet() else request.head.sharedParts
-            suspects.refusalOrNull(parts)?.let { return finish(state, it, answer) }
+            // A caller that has part of the answer has proof that the request crashes no target.
+            val traits = if (answer.isStarted) emptySet() else request.traits
+            suspects.refusalOrNull(traits)?.let { return finish(state, it, answer) }
             val waitedFrom = clock()
             val slot = dispatcher.acquire(request, state.tried, answer.isStarted)
                 .getOrElse { return finish(state, it, answer) }
             val waitedMilliseconds = clock().millisecondsSince(waitedFrom)
             metrics.recordWait(waitedMilliseconds)
             // A target may have crashed during the wait.
-            val trial = suspects.begin(parts).getOrElse {
+            val trial = suspects.begin(traits).getOrElse {
                 dispatcher.release(request.pool.name, slot.target.id, clock())
                 return finish(state, it, answer)
             }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -15,7 +15,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.vanilladale.core.admission.BufferBudget
-import org.vanilladale.core.crash.PartSuspects
+import org.vanilladale.core.crash.TraitSuspects
 import org.vanilladale.core.gateway.AddressCandidate
 import org.vanilladale.core.gateway.CallerAddresses
 import org.vanilladale.core.gateway.CallerFacingEntries
@@ -100,7 +100,7 @@
     private val budget = FleetRetryBudget(settings, fleet, clock)
     private val answerBuffers =
         BufferBudget(Runtime.getRuntime().maxMemory() / ANSWER_BUFFER_DIVISOR)
-    private val suspects = PromptPartWatch(PartSuspects(), log, metrics, clock) {
+    private val suspects = CrashWatch(TraitSuspects(), log, metrics, clock) {
         heartbeats.send()
     }
     private val admission = RequestAdmission({ storeCache.tables }, ::isOutdated, random)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -125,12 +125,12 @@
         GatewayEvent
 
     /**
-     * Targets crashed with [part] of prompts, or a target answered a prompt with it again. [state]
-     * is `suspect` or `cleared`.
+     * A target crashed with a request that has [trait], or answered one again. [state] is `suspect`
+     * or `cleared`.
      */
     @Serializable
-    @SerialName("prompt-part")
-    public data class PromptPartState(val part: String, val state: String, val request: String) :
+    @SerialName("crash-suspect")
+    public data class CrashSuspect(val trait: String, val state: String, val request: String) :
         GatewayEvent
 
     /** This process became the leader that moves the experts of a pool, or ceased to be. */
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PeerHeartbeats.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PeerHeartbeats.kt
@@ -17,7 +17,7 @@
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.schema.EntryBeat
 import org.vanilladale.schema.SocketAddressText
-import org.vanilladale.schema.SuspectPart
+import org.vanilladale.schema.SuspectTrait
 import org.vanilladale.schema.Timestamp
 import org.vanilladale.schema.VmId
 import org.vanilladale.transport.FrameCodec
@@ -54,7 +54,7 @@
     private val log: GatewayLog,
     private val clock: () -> Timestamp,
     private val random: Random,
-    private val onSuspectParts: (List<SuspectPart>) -> Unit,
+    private val onSuspects: (List<SuspectTrait>) -> Unit,
     private val onPeerUpdate: () -> Unit,
 ) {
     private val changes = Channel<Unit>(Channel.CONFLATED)
@@ -159,7 +159,7 @@
             Triple(isUpdate, wasKnown, unknown)
         }
         if (!isNew) return
-        if (heartbeat.suspectParts.isNotEmpty()) onSuspectParts(heartbeat.suspectParts)
+        if (heartbeat.suspects.isNotEmpty()) onSuspects(heartbeat.suspects)
         if (!isKnown) {
             logPeer(heartbeat, "heard")
             announceChange()
