Count a crash only if the target refuses connections

Cause: a closed connection was taken for a crash. Change: before a closed connection counts, the entry opens another one. A target that lost an answer accepts it, one that ended refuses it.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
@@ -15,7 +15,7 @@
     /**
      * The caller has not received a complete answer.
      *
-     * @property targetClosed whether the target closed or reset the connection
+     * @property isCrash whether the target crashed before it sent anything of its answer
      * @property answer error answer of the target, which the caller receives if no other attempt
      *   follows
      */
@@ -23,6 +23,6 @@
         val end: AttemptEnd,
         val detail: String,
         val answer: BufferedAnswer? = null,
-        val targetClosed: Boolean = false,
+        val isCrash: Boolean = false,
     ) : AttemptResult
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -21,6 +21,7 @@
  */
 internal class AttemptRunner(
     private val client: HttpClient,
+    private val probe: TargetProbe,
     private val dialect: RequestDialect,
     private val timeouts: AttemptTimeouts,
     private val buffers: BufferBudget,
@@ -39,6 +40,7 @@
         val exchange =
             TargetExchange.connectOrNull(client, target.address, request.method, request.uri)
                 ?: return AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection")
+        val eventsBefore = progress?.events
         return try {
             exchange.send(headersFor(request, target, progress), request.body)
             val timeout = timeouts.firstAnswer(request, mayRepeat)
@@ -46,7 +48,10 @@
                 ?: return AttemptResult.Failed(AttemptEnd.SILENT, "no answer within $timeout ms")
             handleResponse(Attempt(request, target, exchange, mayRepeat), head, progress, answer)
         } catch (broken: TargetExchangeException) {
-            AttemptResult.Failed(AttemptEnd.BROKEN, broken.message.orEmpty(), targetClosed = true)
+            // A target that only lost the answer still accepts connections.
+            val isCrash = progress?.events == eventsBefore &&
+                !probe.isListening(target.address)
+            AttemptResult.Failed(AttemptEnd.BROKEN, broken.message.orEmpty(), isCrash = isCrash)
         } finally {
             exchange.close()
         }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -77,7 +77,6 @@
         val request = state.request
         val target = slot.target
         val startedAt = clock()
-        val eventsBefore = state.progress?.events
         val result = try {
             attempts.run(request, target, state.mayRepeat, state.progress, answer)
         } finally {
@@ -95,9 +94,7 @@
 
             is AttemptResult.Failed -> {
                 if (!result.end.provenNotRun) state.possibleRuns++
-                if (result.targetClosed && state.progress?.events == eventsBefore) {
-                    suspects.recordCrash(request)
-                }
+                if (result.isCrash) suspects.recordCrash(request)
                 if (result.answer != null) state.answer = result.answer
                 dispatcher.observe(request.pool.name) { now ->
                     recordFailure(result.end, target.id, now)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -257,6 +257,7 @@
     private fun createForwarder(): Forwarder {
         val attempts = AttemptRunner(
             TargetExchange.createClient(vertx),
+            TargetProbe(vertx),
             dialect,
             AttemptTimeouts(clock),
             answerBuffers,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/TargetExchange.kt
@@ -90,7 +90,7 @@
          * A target accepts a connection within a few milliseconds. A longer delay means that it is
          * down or unreachable.
          */
-        private const val CONNECT_MILLISECONDS = 400
+        const val CONNECT_MILLISECONDS = 400
 
         /**
          * The slots at targets already limit the connections. This limit takes effect only
