Let one request of all entries at a time try what crashed targets

Cause: a trial was announced by its result only. Change: heartbeats carry trials as well, and other entries wait until one has ended. With one trial at a time its choice matters: CrashingTraitFleetTest then failed in a cold start with many deadly requests (7 of 24 a second, seed 4), because the trial of the common first part was a deadly request and convicted it as well. A request with several suspect traits therefore waits 3 s longer than one with a single one, which tells causes apart. Evidence: TraitSuspectsTest, an entry leaves the trial to another one that has begun it; a request with one suspect trait tries it before one with several. CrashingTraitFleetTest passes with its bounds unchanged.

--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitShard.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitShard.kt
@@ -5,28 +5,37 @@
 import org.vanilladale.schema.SuspectTrait
 import org.vanilladale.schema.Timestamp
 
+/**
+ * Suspicion of one trait.
+ *
+ * @property restsUntil time before which no request tries the trait
+ * @property isTried whether a request tries it now
+ */
+internal class Suspicion(val restsUntil: Deadline, val isTried: Boolean)
+
 /** Suspect traits of one shard. The caller holds the lock of the shard. */
 internal class TraitShard {
-    private class Trial(val expiresAt: Deadline)
-
     /** Last answer to each trait, least recently answered first. */
     private val answers = BoundedMap<RequestTrait, Timestamp>(MAX_ANSWERED_TRAITS)
     private val records = BoundedMap<RequestTrait, TraitRecord>(MAX_SUSPECT_TRAITS)
-    private val trials = HashMap<RequestTrait, Trial>()
-
-    /** Returns the time before which no request with [trait] may begin, or null if one may. */
-    fun waitOrNull(trait: RequestTrait, now: Timestamp): Deadline? {
-        val record = recordOrNull(trait, now) ?: return null
-        val restsUntil = record.restsUntilOrNull() ?: return null
-        if (!restsUntil.hasPassed(now)) return restsUntil
-        return trials[trait]?.expiresAt?.takeUnless { it.hasPassed(now) }
-            ?.let { now.deadlineAfter(TraitRecord.INCIDENT_MILLISECONDS) }
+
+    /** Start of each trial of this entry. */
+    private val trials = HashMap<RequestTrait, Timestamp>()
+
+    /** Time until which the trials of other entries last. */
+    private val peerTrials = HashMap<RequestTrait, Deadline>()
+
+    /** Returns the suspicion of [trait], or null if it is not suspect. */
+    fun suspicionOrNull(trait: RequestTrait, now: Timestamp): Suspicion? {
+        val restsUntil = recordOrNull(trait, now)?.restsUntilOrNull() ?: return null
+        val trialEnds = listOfNotNull(trials[trait]?.let(::endOfTrial), peerTrials[trait])
+        return Suspicion(restsUntil, trialEnds.any { !it.hasPassed(now) })
     }
 
     /** Begins a trial if [trait] is suspect. Returns false if it is not. */
     fun beginTrial(trait: RequestTrait, now: Timestamp): Boolean {
-        if (recordOrNull(trait, now)?.restsUntilOrNull() == null) return false
-        trials[trait] = Trial(now.deadlineAfter(MAX_TRIAL_MILLISECONDS))
+        if (suspicionOrNull(trait, now) == null) return false
+        trials[trait] = now
         return true
     }
 
@@ -52,10 +61,12 @@
 
     fun reports(now: Timestamp): List<SuspectTrait> {
         records.values.removeIf { it.isForgotten(now) }
+        peerTrials.values.removeIf { it.hasPassed(now) }
         return records.filterValues { it.isNews(now) }.map { (trait, record) ->
             SuspectTrait(
                 trait,
                 record.crashes.map { now.millisecondsSince(it) },
+                trials[trait]?.let { now.millisecondsSince(it) },
                 record.answeredAt?.let { now.millisecondsSince(it) },
             )
         }
@@ -68,10 +79,15 @@
         val answeredAt = report.soundAge?.takeIf { it >= 0 }?.let { now.before(it) }
         val merged = crashes.sorted().fold(known) { record, crash -> record.withCrash(crash) }
         if (merged.crashes.isEmpty()) return
-        records[trait] = listOfNotNull(answeredAt, answers[trait]).sorted()
+        val updated = listOfNotNull(answeredAt, answers[trait]).sorted()
             .fold(merged) { record, answer -> record.withAnswer(answer) }
+        if (updated != known) peerTrials.remove(trait)
+        report.trialAge?.let { peerTrials[trait] = endOfTrial(now.before(it)) }
+        records[trait] = updated
     }
 
+    private fun endOfTrial(begunAt: Timestamp) = begunAt.deadlineAfter(MAX_TRIAL_MILLISECONDS)
+
     private fun recordOrNull(trait: RequestTrait, now: Timestamp) =
         records[trait]?.takeUnless { it.isForgotten(now) }
 
--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitSuspects.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitSuspects.kt
@@ -17,7 +17,7 @@
  * A request may crash each target that runs it, and come again with the same content. One part of
  * its prompt may do so whatever else the prompt holds, while the other parts are sound. A trait is
  * therefore suspect if targets crashed with it and none has answered a request with it since. A
- * suspect trait rests after a crash, then one request at a time tries it. The rest grows with each
+ * suspect trait rests after a crash, then one request of all entries at a time tries it. The rest grows with each
  * crash, and any answer ends the suspicion. For a trait that targets have answered before, one
  * crash more is needed.
  *
@@ -29,10 +29,31 @@
     private val shards = Sharded<RequestTrait, TraitShard>(SHARDS) { TraitShard() }
 
     /** Returns the refusal of a request with [traits], or null if [begin] may admit it. */
-    public fun refusalOrNull(traits: Collection<RequestTrait>, now: Timestamp): Refusal? = traits
-        .mapNotNull { trait -> shards.withShard(trait) { it.waitOrNull(trait, now) } }
-        .maxOrNull()
-        ?.let(::refuse)
+    public fun refusalOrNull(traits: Collection<RequestTrait>, now: Timestamp): Refusal? {
+        val suspicions = traits.mapNotNull { trait ->
+            shards.withShard(trait) { it.suspicionOrNull(trait, now) }
+        }
+        // A crash of a request with several suspects would not tell which of them is the cause.
+        val extraMilliseconds = if (suspicions.size > 1) SEVERAL_SUSPECTS_MILLISECONDS else 0
+        return suspicions.mapNotNull { waitOrNull(it, extraMilliseconds, now) }
+            .maxOrNull()
+            ?.let { Refusal(RefusalReason.SUSPECT_CONTENT, retryAt = it) }
+    }
+
+    private fun waitOrNull(
+        suspicion: Suspicion,
+        extraMilliseconds: Long,
+        now: Timestamp,
+    ): Deadline? {
+        val restsUntil = Deadline.fromEpochMilliseconds(
+            suspicion.restsUntil.epochMilliseconds + extraMilliseconds,
+        )
+        return when {
+            !restsUntil.hasPassed(now) -> restsUntil
+            suspicion.isTried -> now.deadlineAfter(TraitRecord.INCIDENT_MILLISECONDS)
+            else -> null
+        }
+    }
 
     /**
      * Admits a request with [traits], or refuses it.
@@ -42,19 +63,10 @@
     public fun begin(
         traits: Collection<RequestTrait>,
         now: Timestamp,
-    ): Either<Refusal, Set<RequestTrait>> {
-        val tried = HashSet<RequestTrait>()
-        for (trait in traits) {
-            val retryAt = shards.withShard(trait) { shard ->
-                shard.waitOrNull(trait, now).also { wait ->
-                    if (wait == null && shard.beginTrial(trait, now)) tried += trait
-                }
-            } ?: continue
-            end(tried)
-            return refuse(retryAt).left()
-        }
-        return tried.right()
-    }
+    ): Either<Refusal, Set<RequestTrait>> = refusalOrNull(traits, now)?.left()
+        ?: traits.filterTo(HashSet()) { trait ->
+            shards.withShard(trait) { it.beginTrial(trait, now) }
+        }.right()
 
     /** Ends the trials of [tried] that [begin] started. */
     public fun end(tried: Set<RequestTrait>) {
@@ -86,12 +98,12 @@
         reports.forEach { report -> shards.withShard(report.trait) { it.merge(report, now) } }
     }
 
-    private fun refuse(retryAt: Deadline) =
-        Refusal(RefusalReason.SUSPECT_CONTENT, retryAt = retryAt)
-
     private companion object {
         const val SHARDS = 8
 
+        /** Until then a request with one of the suspects has most likely tried it. */
+        const val SEVERAL_SUSPECTS_MILLISECONDS = 3_000L
+
         /** Bounds the size of a heartbeat. Few traits are suspect at a time. */
         const val MAX_REPORTS = 32
     }
--- a/core/src/test/kotlin/org/vanilladale/core/crash/CrashingTraitFleetTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/CrashingTraitFleetTest.kt
@@ -48,6 +48,7 @@
             if (isSound) soundRequests++
             val entry = entries.random(random)
             val tried = entry.begin(parts, timestamp(at)).getOrNull() ?: return
+            if (tried.isNotEmpty()) report(entry, at)
             val isDeadly = at >= deadlyFrom
             if (isSound) soundSends++
             if (isDeadly) deadlySends += at
--- a/core/src/test/kotlin/org/vanilladale/core/crash/TraitSuspectsTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/TraitSuspectsTest.kt
@@ -51,7 +51,7 @@
     }
 
     @Test
-    fun `a refusal for one part leaves the trial of another one free`() {
+    fun `a refusal for one trait leaves the trial of another one free`() {
         val resting = RequestTrait.ofPart(PrefixId.parse("resting"))
         suspects.recordCrash(listOf(rare), at(0))
         suspects.recordCrash(listOf(resting), at(1_000))
@@ -59,6 +59,16 @@
         expectThat(suspects.begin(listOf(rare), at(2_000)).getOrNull()).isEqualTo(setOf(rare))
     }
 
+    @Test
+    fun `a request with one suspect trait tries it before one with several`() {
+        suspects.recordCrash(listOf(shared, rare), at(0))
+        expectThat(suspects.begin(listOf(shared, rare), at(2_000)).getOrNull()).isNull()
+        expectThat(suspects.begin(listOf(shared), at(2_000)).getOrNull()).isEqualTo(setOf(shared))
+        suspects.recordAnswer(listOf(shared), at(2_200))
+        expectThat(suspects.begin(listOf(shared, rare), at(2_200)).getOrNull())
+            .isEqualTo(setOf(rare))
+    }
+
     @Test
     fun `a second crash in a row convicts a part for longer, and each further one doubles that`() {
         listOf(0L, 2_000L, 40_000L).forEach { suspects.recordCrash(listOf(rare), at(it)) }
@@ -91,10 +101,31 @@
         expectThat(suspects.refusalAt(rare, 230)).isNull()
     }
 
+    @Test
+    fun `an entry leaves the trial to another one that has begun it`() {
+        val peer = TraitSuspects()
+        suspects.recordCrash(listOf(rare), at(0))
+        suspects.begin(listOf(rare), at(2_000))
+        peer.merge(suspects.reports(at(2_001)), at(2_003))
+        expectThat(peer.begin(listOf(rare), at(2_010)).getOrNull()).isNull()
+        suspects.recordAnswer(listOf(rare), at(2_200))
+        peer.merge(suspects.reports(at(2_201)), at(2_203))
+        expectThat(peer.begin(listOf(rare), at(2_210)).getOrNull()).isEqualTo(emptySet())
+    }
+
+    @Test
+    fun `a trial of an entry that falls silent ends by itself`() {
+        val peer = TraitSuspects()
+        suspects.recordCrash(listOf(rare), at(0))
+        suspects.begin(listOf(rare), at(2_000))
+        peer.merge(suspects.reports(at(2_001)), at(2_003))
+        expectThat(peer.begin(listOf(rare), at(5_003)).getOrNull()).isEqualTo(setOf(rare))
+    }
+
     @Test
     fun `a report of a crash before the last answer here raises no suspicion`() {
         suspects.recordAnswer(listOf(rare), at(1_000))
-        suspects.merge(listOf(SuspectTrait(rare, listOf(200, 5_000), null)), at(1_100))
+        suspects.merge(listOf(SuspectTrait(rare, listOf(200, 5_000))), at(1_100))
         expectThat(suspects.refusalAt(rare, 1_100)).isNull()
     }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CrashWatch.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CrashWatch.kt
@@ -24,7 +24,7 @@
 
     /** Admits a request with [traits] to a target or refuses it; see [TraitSuspects.begin]. */
     fun begin(traits: Set<RequestTrait>): Either<Refusal, Set<RequestTrait>> =
-        suspects.begin(traits, clock())
+        suspects.begin(traits, clock()).onRight { if (it.isNotEmpty()) onChange() }
 
     /** Ends the trial that [begin] started. */
     fun end(trial: Set<RequestTrait>) = suspects.end(trial)
