--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitRecord.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitRecord.kt
@@ -20,7 +20,7 @@
         return if (isKnown) this else copy(crashes = (crashes + at).sorted().takeLast(MAX_CRASHES))
     }
 
-    /** Adds an answer. One that ends no suspicion is left out, since other entries need not know. */
+    /** Adds an answer. One that ends no suspicion is left out; other entries need not know it. */
     fun withAnswer(at: Timestamp): TraitRecord {
         val isNews = answeredAt == null || crashes.any { it > answeredAt && it < at }
         return if (isNews) copy(answeredAt = at) else this
--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitShard.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitShard.kt
@@ -94,7 +94,7 @@
     private fun Timestamp.before(milliseconds: Long) =
         Timestamp.fromEpochMilliseconds(epochMilliseconds - milliseconds)
 
-    /** Map that drops the entry that was written first when it is full. */
+    /** Map that drops its least recently used entry when it is full. */
     private class BoundedMap<K, V>(private val capacity: Int) :
         LinkedHashMap<K, V>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
         override fun removeEldestEntry(eldest: Map.Entry<K, V>) = size > capacity
--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitSuspects.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitSuspects.kt
@@ -17,9 +17,9 @@
  * A request may crash each target that runs it, and come again with the same content. One part of
  * its prompt may do so whatever else the prompt holds, while the other parts are sound. A trait is
  * therefore suspect if targets crashed with it and none has answered a request with it since. A
- * suspect trait rests after a crash, then one request of all entries at a time tries it. The rest grows with each
- * crash, and any answer ends the suspicion. For a trait that targets have answered before, one
- * crash more is needed.
+ * suspect trait rests after a crash, then one request of all entries at a time tries it. The rest
+ * grows with each crash, and any answer ends the suspicion. For a trait that targets have answered
+ * before, one crash more is needed.
  *
  * Entries exchange their [reports], so that each learns from the crashes and answers of all.
  *
@@ -58,7 +58,7 @@
     /**
      * Admits a request with [traits], or refuses it.
      *
-     * @return the suspect traits that the request tries. Call [end] with them when its attempt ends.
+     * @return the suspect traits that the request tries. Call [end] with them after its attempt.
      */
     public fun begin(
         traits: Collection<RequestTrait>,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -86,21 +86,7 @@
         answer: CallerAnswer,
     ): AttemptResult {
         val head = dialect.readAnswerHead(response, attempt.request.head.request)
-        return when {
-            // Nothing in the answer to another request, such as "not run", holds for this one.
-            head.namesOtherRequest ->
-                AttemptResult.Failed(AttemptEnd.BROKEN, "the answer to another request")
-
-            head.isOtherTarget -> AttemptResult.Failed(AttemptEnd.WRONG_TARGET, "another target")
-
-            head.isNotRun -> AttemptResult.Failed(AttemptEnd.REJECTED, "status ${head.status}")
-
-            !head.echoesRequest || head.isEncoded ->
-                AttemptResult.Failed(AttemptEnd.BROKEN, "not the answer to this request")
-
-            head.isSuccess && !head.isSigned ->
-                AttemptResult.Failed(AttemptEnd.BROKEN, "success without a signature")
-
+        return faultOrNull(head) ?: when {
             head.isSuccess && head.isOtherMedia && answer.isStarted ->
                 AttemptResult.Failed(AttemptEnd.BROKEN, "no stream in answer to a resume")
 
@@ -114,6 +100,25 @@
         }
     }
 
+    /** Returns the failure of an attempt whose answer has [head], or null if it may be used. */
+    private fun faultOrNull(head: TargetHead): AttemptResult.Failed? = when {
+        // Nothing in the answer to another request, such as "not run", holds for this one.
+        head.namesOtherRequest ->
+            AttemptResult.Failed(AttemptEnd.BROKEN, "the answer to another request")
+
+        head.isOtherTarget -> AttemptResult.Failed(AttemptEnd.WRONG_TARGET, "another target")
+
+        head.isNotRun -> AttemptResult.Failed(AttemptEnd.REJECTED, "status ${head.status}")
+
+        !head.echoesRequest || head.isEncoded ->
+            AttemptResult.Failed(AttemptEnd.BROKEN, "not the answer to this request")
+
+        head.isSuccess && !head.isSigned ->
+            AttemptResult.Failed(AttemptEnd.BROKEN, "success without a signature")
+
+        else -> null
+    }
+
     private suspend fun receiveFull(
         attempt: Attempt,
         response: HttpClientResponse,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/RequestAdmission.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/RequestAdmission.kt
@@ -28,8 +28,8 @@
 /**
  * Determines the route, workspace and pool of a request, or the reason to refuse it.
  *
- * @param isOutdated whether a peer has a newer configuration than the given one. It may hold a route
- *   or key that is unknown here, and callers do not repeat a request after 401 or 404.
+ * @param isOutdated whether a peer has a newer configuration than the given one. It may hold a
+ *   route or key that is unknown here, and callers do not repeat a request after 401 or 404.
  */
 internal class RequestAdmission(
     private val tables: () -> GatewayTables?,
