Report a suspect only while others need to know it

What callers would see: heartbeats grew. Each crash makes the contents of all requests in flight there suspect, and each stayed in every heartbeat for ten minutes, up to 32 of about 90 B; after a crash of many targets they crowded out the part that causes crashes. Cause: every suspect counted as news, and reports were cut off in no order. Change: a suspect is reported for 5 s after a change, while it rests and while it is tried; traits with the most crashes come first, parts of prompts before contents. Evidence: two cases of TraitSuspectsTest, both failed before.

--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitRecord.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitRecord.kt
@@ -36,10 +36,10 @@
         return last.deadlineAfter(CONVICTED_REST_MILLISECONDS shl (level - 2))
     }
 
-    /** Whether other entries may not know the record yet, or need it after a restart. */
+    /** Whether other entries may not know the record yet, or need it if they start now. */
     fun isNews(now: Timestamp): Boolean {
         val changedAt = listOfNotNull(crashes.lastOrNull(), answeredAt).maxOrNull()
-        return restsUntilOrNull() != null ||
+        return restsUntilOrNull()?.hasPassed(now) == false ||
             changedAt != null && now.millisecondsSince(changedAt) < NEWS_MILLISECONDS
     }
 
--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitShard.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitShard.kt
@@ -62,7 +62,8 @@
     fun reports(now: Timestamp): List<SuspectTrait> {
         records.values.removeIf { it.isForgotten(now) }
         peerTrials.values.removeIf { it.hasPassed(now) }
-        return records.filterValues { it.isNews(now) }.map { (trait, record) ->
+        val news = records.filter { (trait, record) -> record.isNews(now) || trait in trials }
+        return news.map { (trait, record) ->
             SuspectTrait(
                 trait,
                 record.crashes.map { now.millisecondsSince(it) },
--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitSuspects.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitSuspects.kt
@@ -89,9 +89,11 @@
     public fun recordAnswer(traits: Collection<RequestTrait>, now: Timestamp): List<RequestTrait> =
         traits.filter { trait -> shards.withShard(trait) { it.recordAnswer(trait, now) } }
 
-    /** Returns what other entries need to know. */
-    public fun reports(now: Timestamp): List<SuspectTrait> =
-        shards.mapShards { it.reports(now) }.flatten().take(MAX_REPORTS)
+    /** Returns what other entries need to know, traits with the most crashes first. */
+    public fun reports(now: Timestamp): List<SuspectTrait> = shards.mapShards { it.reports(now) }
+        .flatten()
+        .sortedWith(compareBy({ -it.crashAges.size }, { !it.trait.isPart }))
+        .take(MAX_REPORTS)
 
     /** Merges [reports] of another entry. Repeated reports have no effect. */
     public fun merge(reports: List<SuspectTrait>, now: Timestamp) {
--- a/core/src/test/kotlin/org/vanilladale/core/crash/TraitSuspectsTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/TraitSuspectsTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Test
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.schema.Fingerprint
 import org.vanilladale.schema.PrefixId
 import org.vanilladale.schema.RequestTrait
 import org.vanilladale.schema.SuspectTrait
@@ -129,6 +130,22 @@
         expectThat(suspects.refusalAt(rare, 1_100)).isNull()
     }
 
+    @Test
+    fun `the contents in flight at one crash leave the reports soon, a convicted part stays`() {
+        suspects.recordCrash(contents(0 until 10) + rare, at(0))
+        suspects.recordCrash(contents(10 until 20) + rare, at(2_000))
+        expectThat(suspects.reports(at(10_000)).map { it.trait }).isEqualTo(listOf(rare))
+    }
+
+    @Test
+    fun `the contents in flight at a crash of many targets crowd no part out of the reports`() {
+        suspects.recordCrash(contents(0 until 1_000) + rare, at(0))
+        expectThat(suspects.reports(at(1)).first().trait).isEqualTo(rare)
+    }
+
+    private fun contents(numbers: IntRange) =
+        numbers.map { RequestTrait.ofContent(Fingerprint.parse("content-$it")) }
+
     @Test
     fun `reports stay small, and end when a part is no longer suspect`() {
         val parts = List(10_000) { RequestTrait.ofPart(PrefixId.parse("part-$it")) }
