Send sound requests that were in flight at a crash to another target at once

What callers saw since contents are recognised: a request beside one that crashed its target was answered 502 instead of sent to another target, since its own content was suspect after that one crash. Cause: a content, which no target can have answered before, was treated like a part that none has answered. Change: a content is suspect from the second crash on. TraitSuspectsTest for the second crash.

--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitRecord.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitRecord.kt
@@ -7,16 +7,19 @@
 /**
  * Crashes of targets with one trait of requests, and the first answer to one with it since.
  *
+ * @property isPart whether the trait is a part of prompts and not the content of one request
  * @property crashes times of the crashes in ascending order. Crashes close together count as one:
- *   several requests may have the trait at the time of the first, and a rank that ends stops the
- *   others of its group.
+ *   several requests may hold the part at the time of the first, and other entries report a crash
+ *   with a delay.
  */
 internal data class TraitRecord(
+    val isPart: Boolean,
     val crashes: List<Timestamp> = emptyList(),
     val answeredAt: Timestamp? = null,
 ) {
     fun withCrash(at: Timestamp): TraitRecord {
-        val isKnown = crashes.any { abs(it.millisecondsSince(at)) < INCIDENT_MILLISECONDS }
+        val incident = if (isPart) INCIDENT_MILLISECONDS else MAX_REPORT_DELAY_MILLISECONDS
+        val isKnown = crashes.any { abs(it.millisecondsSince(at)) < incident }
         return if (isKnown) this else copy(crashes = (crashes + at).sorted().takeLast(MAX_CRASHES))
     }
 
@@ -29,7 +32,8 @@
     /** Returns the time until which the trait rests, or null if it is not suspect. */
     fun restsUntilOrNull(): Deadline? {
         val open = crashes.filter { answeredAt == null || it > answeredAt }
-        val level = if (answeredAt == null) open.size else open.size - 1
+        // One crash must not keep a sound request that was in flight there from another target.
+        val level = if (isPart && answeredAt == null) open.size else open.size - 1
         val last = open.lastOrNull()
         if (last == null || level < 1) return null
         if (level == 1) return last.deadlineAfter(INCIDENT_MILLISECONDS)
@@ -50,6 +54,9 @@
         /** Time after the first crash in which requests that were in flight then may crash more. */
         const val INCIDENT_MILLISECONDS = 1_500L
 
+        /** The same crash is reported again later by no more than this. */
+        private const val MAX_REPORT_DELAY_MILLISECONDS = 250L
+
         /** Time until a trait that crashed targets twice in a row is tried again. */
         private const val CONVICTED_REST_MILLISECONDS = 30_000L
         private const val LIFETIME_MILLISECONDS = 600_000L
--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitShard.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitShard.kt
@@ -45,8 +45,7 @@
 
     /** Returns whether [trait] is suspect now. */
     fun recordCrash(trait: RequestTrait, now: Timestamp): Boolean {
-        val record = (recordOrNull(trait, now) ?: TraitRecord(answeredAt = answers[trait]))
-            .withCrash(now)
+        val record = recordOf(trait, now).withCrash(now)
         records[trait] = record
         return record.restsUntilOrNull() != null
     }
@@ -75,7 +74,7 @@
 
     fun merge(report: SuspectTrait, now: Timestamp) {
         val trait = report.trait
-        val known = recordOrNull(trait, now) ?: TraitRecord(answeredAt = answers[trait])
+        val known = recordOf(trait, now)
         val crashes = report.crashAges.filter { it >= 0 }.map { now.before(it) }
         val answeredAt = report.soundAge?.takeIf { it >= 0 }?.let { now.before(it) }
         val merged = crashes.sorted().fold(known) { record, crash -> record.withCrash(crash) }
@@ -89,6 +88,9 @@
 
     private fun endOfTrial(begunAt: Timestamp) = begunAt.deadlineAfter(MAX_TRIAL_MILLISECONDS)
 
+    private fun recordOf(trait: RequestTrait, now: Timestamp) = recordOrNull(trait, now)
+        ?: TraitRecord(trait.isPart, answeredAt = answers[trait])
+
     private fun recordOrNull(trait: RequestTrait, now: Timestamp) =
         records[trait]?.takeUnless { it.isForgotten(now) }
 
--- a/core/src/main/kotlin/org/vanilladale/core/crash/TraitSuspects.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/crash/TraitSuspects.kt
@@ -18,8 +18,8 @@
  * its prompt may do so whatever else the prompt holds, while the other parts are sound. A trait is
  * therefore suspect if targets crashed with it and none has answered a request with it since. A
  * suspect trait rests after a crash, then one request of all entries at a time tries it. The rest
- * grows with each crash, and any answer ends the suspicion. For a trait that targets have answered
- * before, one crash more is needed.
+ * grows with each crash, and any answer ends the suspicion. For a content, and for a part that
+ * targets have answered before, one crash more is needed.
  *
  * Entries exchange their [reports], so that each learns from the crashes and answers of all.
  *
--- a/core/src/test/kotlin/org/vanilladale/core/crash/TraitSuspectsTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/crash/TraitSuspectsTest.kt
@@ -85,6 +85,15 @@
         expectThat(suspects.refusalAt(rare, 1_001)).isNotNull()
     }
 
+    @Test
+    fun `one crash is no reason to hold back a content, and a second one is`() {
+        val content = contents(0..0)
+        suspects.recordCrash(content, at(0))
+        expectThat(suspects.refusalOrNull(content, at(1))).isNull()
+        suspects.recordCrash(content, at(2_000))
+        expectThat(suspects.refusalOrNull(content, at(2_001))).isNotNull()
+    }
+
     @Test
     fun `crashes of one incident count once`() {
         listOf(0L, 400L, 900L).forEach { suspects.recordCrash(listOf(rare), at(it)) }
