Refuse a request whose body is not complete by its deadline

What callers saw: a caller that sent its head and a part of the body got no answer, and its request counted as in flight, until the idle timeout of 15 s; one that sent a byte now and then held it without end, a planned stop included.

Cause: the deadline of a request was enforced only from the time when the whole body had arrived. The connection of a refused body stayed open as well.

Change: CallerServer answers body-too-slow, 408 and not run, at the deadline. A connection with an unread body is closed one second after the refusal, so that the caller can still read it.

Evidence: SlowCallerTest failed before (no answer within five seconds); a body that arrives slowly but in time is served before and after.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -130,21 +130,32 @@
 
         fun readBody(admitted: AdmittedHead) {
             revision = admitted.tables.revision.value
+            val times = timesOf(admitted)
             val body = Buffer.buffer()
             var refused = false
+            fun refuseBody(reason: RefusalReason) {
+                refused = true
+                refuse(Refusal(reason))
+            }
+            val remainingMilliseconds = times.deadline.millisecondsLeft(shared.clock())
+            val timer = vertx.setTimer(maxOf(1, remainingMilliseconds)) {
+                if (!refused && !request.isEnded) refuseBody(RefusalReason.BODY_TOO_SLOW)
+            }
             request.handler { chunk ->
                 if (refused) return@handler
                 if (body.length() + chunk.length() > admitted.tables.limits.maximumBodyBytes) {
-                    refused = true
-                    refuse(Refusal(RefusalReason.BODY_TOO_LARGE))
+                    refuseBody(RefusalReason.BODY_TOO_LARGE)
                 } else {
                     body.appendBuffer(chunk)
                 }
             }
-            request.endHandler { if (!refused && !ended) forward(admitted, body) }
+            request.endHandler {
+                vertx.cancelTimer(timer)
+                if (!refused && !ended) forward(admitted, times, body)
+            }
         }
 
-        private fun forward(admitted: AdmittedHead, body: Buffer) {
+        private fun forward(admitted: AdmittedHead, times: RequestTimes, body: Buffer) {
             val forwarded = ForwardedRequest(
                 admitted.head,
                 request.method(),
@@ -155,7 +166,7 @@
                 admitted.pool,
                 admitted.workspace,
                 admitted.tables.revision,
-                timesOf(admitted),
+                times,
             )
             job = requests.launch(CoroutineExceptionHandler { _, fault -> handleFailure(fault) }) {
                 serve(forwarded)
@@ -216,8 +227,13 @@
             answer.abort()
         }
 
-        private fun writeRefusal(refusal: Refusal) =
-            shared.refusals.write(request, RefusalWriter.Subject(id, arrivedAt, revision), refusal)
+        private fun writeRefusal(refusal: Refusal) {
+            val subject = RefusalWriter.Subject(id, arrivedAt, revision)
+            shared.refusals.write(request, subject, refusal)
+            if (request.isEnded) return
+            // Unread bytes would reset the connection and could take the refusal with them.
+            vertx.setTimer(LINGER_MILLISECONDS) { request.connection().close() }
+        }
 
         fun callerDisconnected() {
             if (ended) return
@@ -244,5 +260,8 @@
     private companion object {
         /** All callers of a data centre may connect at once after a failure. */
         const val ACCEPT_BACKLOG = 1_024
+
+        /** Time in which the rest of a refused body is read and dropped. */
+        const val LINGER_MILLISECONDS = 1_000L
     }
 }
