Keep the connections of a process that is being replaced

What callers saw: while an entry was replaced as planned, its streams in flight ended as answer-interrupted.

Cause: ConfigurationSpread closed all connections of a VM as soon as a process with another incarnation connected. The successor connects 1.6 s after the stop began, while the entry still serves its streams.

Change: the connections of the earlier process stay open until they end. Only the process of the newest connection counts for tables.

Evidence: ConfigurationSpreadTest failed before (the connection ended as REMOTE). The log of a run shows all links of the leaving entry closed by the agents when its successor connects.

--- a/runtime/src/main/kotlin/org/vanilladale/runtime/ConfigurationSpread.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/ConfigurationSpread.kt
@@ -55,7 +55,10 @@
         clock(),
     )
 
-    /** Open connections by peer; frames go through the newest one. */
+    /**
+     * Open connections by peer. Frames go through the newest one, whose process alone counts. A
+     * process that was replaced may still have requests in flight, so its connections stay open.
+     */
     private val connections = sortedMapOf<VmId, MutableList<PeerConnection>>(compareBy { it.text })
 
     /** Digest of the tables in force, or null before the first. */
@@ -83,18 +86,12 @@
 
     /** Adds an open connection; [disconnected] takes it out again. */
     public fun connected(connection: PeerConnection) {
-        val remote = connection.remote
-        val replaced = synchronized(lock) {
-            val open = connections.getOrPut(remote.vm) { mutableListOf() }
-            val earlier = open.filter { it.remote.incarnation != remote.incarnation }
-            open -= earlier.toSet()
-            // What an earlier incarnation stored is lost, so its copies must not count.
-            if (earlier.isNotEmpty()) handle(ConfigurationEvent.PeerDisconnected(remote.vm))
+        synchronized(lock) {
+            val open = connections.getOrPut(connection.remote.vm) { mutableListOf() }
+            val earlier = open.lastOrNull()
             open += connection
-            handle(ConfigurationEvent.PeerConnected(remote.vm, remote.dataCentre))
-            earlier
+            use(connection, earlier)
         }
-        replaced.forEach { it.close() }
     }
 
     /** Takes [connection] out after its end. */
@@ -109,11 +106,21 @@
                 handle(ConfigurationEvent.PeerDisconnected(remote.vm))
             } else if (used) {
                 // Frames on the ended connection may be lost; another connect offers them again.
-                handle(ConfigurationEvent.PeerConnected(remote.vm, remote.dataCentre))
+                use(open.last(), connection)
             }
         }
     }
 
+    /** Exchanges frames through [connection] from now on, and no longer through [earlier]. */
+    private fun use(connection: PeerConnection, earlier: PeerConnection?) {
+        val remote = connection.remote
+        // The copies of one process are not those of another.
+        if (earlier != null && earlier.remote.incarnation != remote.incarnation) {
+            handle(ConfigurationEvent.PeerDisconnected(remote.vm))
+        }
+        handle(ConfigurationEvent.PeerConnected(remote.vm, remote.dataCentre))
+    }
+
     /** Adds the revision in force to a heartbeat when the peer doesn't know it yet. */
     public fun heartbeat(connection: PeerConnection, heartbeat: Heartbeat): Heartbeat =
         synchronized(lock) {
@@ -137,12 +144,17 @@
             else -> null
         }
         synchronized(lock) {
-            // A connection of an earlier incarnation may still deliver frames while it closes.
-            if (event != null && connection in connections[peer].orEmpty()) handle(event)
+            if (event != null && countsFor(peer, connection)) handle(event)
         }
         return event != null && frame !is Heartbeat
     }
 
+    private fun countsFor(peer: VmId, connection: PeerConnection): Boolean {
+        val open = connections[peer].orEmpty()
+        return connection in open &&
+            connection.remote.incarnation == open.last().remote.incarnation
+    }
+
     private fun heartbeatEventOrNull(peer: VmId, heartbeat: Heartbeat): ConfigurationEvent? {
         val revision = heartbeat.revision ?: return null
         val digest = heartbeat.digest ?: return null
