Let a second call of a planned stop wait as well

Cause: SIGTERM begins the planned stop, and so does the news that another process has the entry's VM. The second call of PlannedStop.run returned at once, and its caller stopped the process.

Change: every call waits until nothing is in flight or the drain deadline passes. The stop is announced once.

Evidence: PlannedStopTest failed before.

--- a/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
@@ -35,21 +35,30 @@
     /** Returns true when new work is to be refused. */
     public fun refusesNewWork(): Boolean = state.get().refusesNewWork(clock())
 
-    /** Announces the stop and returns when nothing is in flight or the drain deadline passes. */
+    /**
+     * Announces the stop, unless an earlier call did, and returns when nothing is in flight or the
+     * drain deadline passes.
+     */
     public suspend fun run() {
+        val announced = announceOnce()
+        while (!announced.isDrained(inFlight(), clock()) || asks(announced)) {
+            delay(POLL_MILLISECONDS)
+        }
+        Logger.info { "stop: $vm drained, ${inFlight()} requests in flight" }
+    }
+
+    private fun announceOnce(): LeavingState.Announced {
         val announced = LeavingState.Serving.announce(
             vm,
             clock(),
             noticeMilliseconds,
             drainMilliseconds,
         )
-        if (!state.compareAndSet(LeavingState.Serving, announced)) return
+        val earlier = state.compareAndExchange(LeavingState.Serving, announced)
+        if (earlier is LeavingState.Announced) return earlier
         announce(announced.frame)
         Logger.info { "stop: $vm leaves, ${inFlight()} requests in flight" }
-        while (!announced.isDrained(inFlight(), clock()) || asks(announced)) {
-            delay(POLL_MILLISECONDS)
-        }
-        Logger.info { "stop: $vm drained, ${inFlight()} requests in flight" }
+        return announced
     }
 
     private fun asks(announced: LeavingState.Announced): Boolean {
