--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -302,14 +302,24 @@
             Files.writeString(settings, filled);
         }
 
+        /** Starts the process with its output in its log file. */
         void start() throws IOException {
+            start(ProcessBuilder.Redirect.appendTo(logFile().toFile()));
+        }
+
+        /** Starts the process with its output in a pipe, which the caller has to read. */
+        void startWithPipe() throws IOException {
+            start(ProcessBuilder.Redirect.PIPE);
+        }
+
+        private void start(ProcessBuilder.Redirect output) throws IOException {
             Matcher command = Pattern.compile("(?m)^\\s*run\\s*=\\s*\"([^\"]+)\"")
                 .matcher(Files.readString(repository.resolve("deploy/system.toml")));
             if (!command.find()) throw new IOException("no run command in the deploy file");
             ProcessBuilder builder = new ProcessBuilder(command.group(1).split(" "))
                 .directory(repository.toFile())
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile().toFile()));
+                .redirectOutput(output);
             builder.environment().put("VANILLADALE_BOOT", settings.toString());
             process = builder.start();
             processes.add(process);
@@ -322,7 +332,8 @@
 
         void signal(String signal) throws Exception {
             record(name + ": SIG" + signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            // The `kill` of the shell needs no further package.
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         }
 
         boolean isReady() {
