Let a planned stop wait until answers are written

Callers saw: an entry that was stopped as planned cut off large answers whose caller read slowly, although the target had completed them and the request counted as answered.

Cause: a request in flight ended with the end handler of its response, which runs when the answer is handed to the connection, not when it has left the process. The stop found nothing in flight and ended the process, and with it what was still queued for the caller.

Change: a request ends when its answer, or its refusal, has been written, or when its connection is closed.

Measured: `PlannedStopRequestsTest`, "a planned stop waits until a slow caller has read a large answer" (8 MB, a caller that reads after 4.5 s): failed on, passes.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerAnswer.kt
@@ -5,15 +5,23 @@
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
 
-/** The answer to one caller. */
-internal class CallerAnswer(private val response: HttpServerResponse) {
+/**
+ * The answer to one caller.
+ *
+ * @param onWritten called when the complete answer has been written to the connection, or can no
+ *   longer be
+ */
+internal class CallerAnswer(
+    private val response: HttpServerResponse,
+    private val onWritten: () -> Unit,
+) {
     /** True once part of the answer has been written. */
     val isStarted: Boolean get() = response.headWritten()
 
     /** Writes a complete answer. */
     suspend fun write(status: Int, headers: MultiMap, body: Buffer) {
         response.setStatusCode(status).headers().addAll(headers)
-        response.end(body).coAwait()
+        response.end(body).onComplete { onWritten() }.coAwait()
     }
 
     /** Starts an answer of unknown length. */
@@ -29,7 +37,7 @@
 
     /** Completes a started answer. */
     suspend fun end() {
-        response.end().coAwait()
+        response.end().onComplete { onWritten() }.coAwait()
     }
 
     /** Closes the connection, so that an incomplete answer is not taken for a complete one. */
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -51,7 +51,7 @@
     @Volatile
     private var recentUntil = clock().deadlineAfter(0)
 
-    /** Number of requests that have not been answered completely. */
+    /** Number of requests whose answers have not been written completely. */
     val inFlight: Int get() = requestsInFlight.get()
 
     /** True while callers still send requests. */
@@ -104,8 +104,8 @@
         shared.drain.requestBegan()
         val exchange = CallerExchange(request, arrivedAt)
         request.response().endHandler { exchange.end() }
-        request.response().closeHandler { exchange.callerDisconnected() }
-        request.response().exceptionHandler { exchange.callerDisconnected() }
+        request.response().closeHandler { exchange.connectionClosed() }
+        request.response().exceptionHandler { exchange.connectionClosed() }
         if (shared.drain.closesConnections) request.response().putHeader("connection", "close")
         shared.dialect.readRequestHead(request, arrivedAt).fold(exchange::refuse) { head ->
             exchange.id = head.request
@@ -125,8 +125,9 @@
         var id: CallerRequestId? = null
         private var job: Job? = null
         private var ended = false
+        private var released = false
         private var revision: Long? = null
-        private val answer = CallerAnswer(request.response())
+        private val answer = CallerAnswer(request.response(), ::release)
 
         fun readBody(admitted: AdmittedHead) {
             revision = admitted.tables.revision.value
@@ -229,12 +230,17 @@
 
         private fun writeRefusal(refusal: Refusal) {
             val subject = RefusalWriter.Subject(id, arrivedAt, revision)
-            shared.refusals.write(request, subject, refusal)
+            shared.refusals.write(request, subject, refusal).onComplete { release() }
             if (request.isEnded) return
             // Unread bytes would reset the connection and could take the refusal with them.
             vertx.setTimer(LINGER_MILLISECONDS) { request.connection().close() }
         }
 
+        fun connectionClosed() {
+            callerDisconnected()
+            release()
+        }
+
         fun callerDisconnected() {
             if (ended) return
             end()
@@ -245,8 +251,13 @@
         }
 
         fun end() {
-            if (ended) return
             ended = true
+        }
+
+        /** Called when the answer has been written or its connection is closed. */
+        private fun release() {
+            if (released) return
+            released = true
             shared.drain.requestEnded()
         }
     }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/RefusalWriter.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/RefusalWriter.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.gateway
 
+import io.vertx.core.Future
 import io.vertx.core.http.HttpServerRequest
 import kotlinx.serialization.json.Json
 import org.vanilladale.core.gateway.CallerRequestId
@@ -24,8 +25,8 @@
     /** Counts [refusal]. */
     fun count(refusal: Refusal) = metrics.counters.refused(refusal.reason)
 
-    /** Answers [request] with [refusal]. */
-    fun write(request: HttpServerRequest, subject: Subject, refusal: Refusal) {
+    /** Answers [request] with [refusal]. Returns a future that completes once it is written. */
+    fun write(request: HttpServerRequest, subject: Subject, refusal: Refusal): Future<Void> {
         val now = clock()
         log.log(
             GatewayEvent.Refused(
@@ -46,6 +47,6 @@
         if (!request.isEnded) response.putHeader("connection", "close")
         val reason = refusal.reason
         val answer = RefusalAnswer(reason.code, refusal.run, reason.remedy, refusal.retryAt)
-        response.end(Json.encodeToString(RefusalAnswer.serializer(), answer))
+        return response.end(Json.encodeToString(RefusalAnswer.serializer(), answer))
     }
 }
