Accept in a planned stop only what can end before it

Cause: a stop accepted every request for 3.2 s, whatever it might take, and ended 1 s before GraceS with whatever was in flight. Times of the stop were constants that did not follow GraceS.

--- a/core/src/main/kotlin/org/vanilladale/core/membership/LeavingState.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/membership/LeavingState.kt
@@ -13,6 +13,14 @@
     /** Returns whether new work is refused at [now]. */
     public fun refusesNewWork(now: Timestamp): Boolean
 
+    /**
+     * Returns whether a request is accepted at [now] although it may last.
+     *
+     * @param likelyEnd estimated time of its answer
+     * @param latestEnd time at which it is given up
+     */
+    public fun accepts(now: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean
+
     /** Returns whether the process may stop while [inFlight] requests are in flight. */
     public fun isDrained(inFlight: Int, now: Timestamp): Boolean
 
@@ -20,6 +28,9 @@
     public data object Serving : LeavingState {
         override fun refusesNewWork(now: Timestamp): Boolean = false
 
+        override fun accepts(now: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean =
+            true
+
         override fun isDrained(inFlight: Int, now: Timestamp): Boolean = false
 
         /**
@@ -46,6 +57,16 @@
     public data class Announced(val frame: Leaving, val drainDeadline: Deadline) : LeavingState {
         override fun refusesNewWork(now: Timestamp): Boolean = now >= frame.leavingAt
 
+        /**
+         * Until [Leaving.leavingAt], callers may not know another process, and a request is
+         * accepted if it is likely to end by the drain deadline. Afterwards it has to end by then
+         * for certain.
+         */
+        override fun accepts(now: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean {
+            val end = if (refusesNewWork(now)) latestEnd else minOf(likelyEnd, latestEnd)
+            return end <= drainDeadline
+        }
+
         override fun isDrained(inFlight: Int, now: Timestamp): Boolean =
             refusesNewWork(now) && (inFlight == 0 || drainDeadline.hasPassed(now))
     }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -8,7 +8,6 @@
 import io.vertx.kotlin.coroutines.coAwait
 import java.io.IOException
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -21,6 +20,7 @@
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.RunState
 import org.vanilladale.schema.SocketAddressText
 import org.vanilladale.schema.Timestamp
 
@@ -38,46 +38,6 @@
     val clock: () -> Timestamp,
 )
 
-/**
- * Tracks the requests of callers and determines how servers treat them during a planned stop.
- */
-internal class DrainState(
-    private val clock: () -> Timestamp,
-    private val isLeaving: () -> Boolean,
-    private val refusesWork: () -> Boolean,
-) {
-    private val requestsInFlight = AtomicInteger()
-
-    @Volatile
-    private var recentUntil = clock().deadlineAfter(0)
-
-    /** Number of requests whose answers have not been written completely. */
-    val inFlight: Int get() = requestsInFlight.get()
-
-    /** True while callers still send requests. */
-    val hasRecentRequests: Boolean get() = !recentUntil.hasPassed(clock())
-
-    /** True when connections are to be closed after their current answer. */
-    val closesConnections: Boolean get() = isLeaving()
-
-    /** True when new requests are refused. */
-    val refusesRequests: Boolean get() = refusesWork()
-
-    fun requestBegan() {
-        requestsInFlight.incrementAndGet()
-        recentUntil = clock().deadlineAfter(RECENT_MILLISECONDS)
-    }
-
-    fun requestEnded() {
-        requestsInFlight.decrementAndGet()
-    }
-
-    private companion object {
-        /** A caller with a persistent connection sends its next request within about a second. */
-        const val RECENT_MILLISECONDS = 700L
-    }
-}
-
 /** Serves callers on one event loop. */
 internal class CallerServer(private val shared: CallerServerDependencies) : CoroutineVerticle() {
     private val forwarder by lazy { shared.forwarder() }
@@ -101,19 +61,15 @@
 
     private fun receive(request: HttpServerRequest) {
         val arrivedAt = shared.clock()
-        shared.drain.requestBegan()
         val exchange = CallerExchange(request, arrivedAt)
+        exchange.begin()
         request.response().endHandler { exchange.end() }
         request.response().closeHandler { exchange.connectionClosed() }
         request.response().exceptionHandler { exchange.connectionClosed() }
         if (shared.drain.closesConnections) request.response().putHeader("connection", "close")
         shared.dialect.readRequestHead(request, arrivedAt).fold(exchange::refuse) { head ->
             exchange.id = head.request
-            if (shared.drain.refusesRequests) {
-                exchange.refuse(Refusal(RefusalReason.LEAVING))
-            } else {
-                shared.admission.admit(head, arrivedAt).fold(exchange::refuse, exchange::readBody)
-            }
+            shared.admission.admit(head, arrivedAt).fold(exchange::refuse, exchange::accept)
         }
     }
 
@@ -125,13 +81,21 @@
         var id: CallerRequestId? = null
         private var job: Job? = null
         private var ended = false
-        private var released = false
         private var revision: Long? = null
         private val answer = CallerAnswer(request.response(), ::release)
+        private val inFlight = DrainState.InFlight { requests.launch { interrupt() } }
+        private var forwarded: ForwardedRequest? = null
+
+        fun begin() = shared.drain.requestBegan(inFlight)
 
-        fun readBody(admitted: AdmittedHead) {
+        fun accept(admitted: AdmittedHead) {
             revision = admitted.tables.revision.value
             val times = timesOf(admitted)
+            val refusal = shared.drain.refusalOrNull(admitted, times)
+            if (refusal == null) readBody(admitted, times) else refuse(refusal)
+        }
+
+        private fun readBody(admitted: AdmittedHead, times: RequestTimes) {
             val body = Buffer.buffer()
             var refused = false
             fun refuseBody(reason: RefusalReason) {
@@ -157,7 +121,7 @@
         }
 
         private fun forward(admitted: AdmittedHead, times: RequestTimes, body: Buffer) {
-            val forwarded = ForwardedRequest(
+            val accepted = ForwardedRequest(
                 admitted.head,
                 request.method(),
                 request.uri(),
@@ -169,8 +133,9 @@
                 admitted.tables.revision,
                 times,
             )
+            forwarded = accepted
             job = requests.launch(CoroutineExceptionHandler { _, fault -> handleFailure(fault) }) {
-                serve(forwarded)
+                serve(accepted)
             }
         }
 
@@ -236,6 +201,13 @@
             vertx.setTimer(LINGER_MILLISECONDS) { request.connection().close() }
         }
 
+        /** Refuses the request, or closes its connection if part of the answer was written. */
+        private fun interrupt() {
+            val run = if (forwarded?.mayHaveRun == true) RunState.UNKNOWN else RunState.NO
+            refuse(Refusal(RefusalReason.LEAVING, run, "the process ends"))
+            job?.cancel()
+        }
+
         fun connectionClosed() {
             callerDisconnected()
             release()
@@ -255,11 +227,7 @@
         }
 
         /** Called when the answer has been written or its connection is closed. */
-        private fun release() {
-            if (released) return
-            released = true
-            shared.drain.requestEnded()
-        }
+        private fun release() = shared.drain.requestEnded(inFlight)
     }
 
     /**
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/DrainState.kt
@@ -0,0 +1,56 @@
+package org.vanilladale.gateway
+
+import java.util.concurrent.ConcurrentHashMap
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.schema.Timestamp
+
+/**
+ * Tracks the requests of callers and determines how servers treat them during a planned stop.
+ * Thread-safe.
+ *
+ * @param isLeaving whether a planned stop has been announced
+ * @param refusalOf returns the refusal of a request that could not end in time, or null
+ */
+internal class DrainState(
+    private val clock: () -> Timestamp,
+    private val isLeaving: () -> Boolean,
+    private val refusalOf: (AdmittedHead, RequestTimes) -> Refusal?,
+) {
+    private val requests = ConcurrentHashMap.newKeySet<InFlight>()
+
+    @Volatile
+    private var recentUntil = clock().deadlineAfter(0)
+
+    /** A request in flight. [interrupt] answers it, or closes its connection, at once. */
+    class InFlight(val interrupt: () -> Unit)
+
+    /** Number of requests whose answers have not been written completely. */
+    val inFlight: Int get() = requests.size
+
+    /** True while callers still send requests. */
+    val hasRecentRequests: Boolean get() = !recentUntil.hasPassed(clock())
+
+    /** True when connections are to be closed after their current answer. */
+    val closesConnections: Boolean get() = isLeaving()
+
+    /** Returns the refusal of a request that could not be answered before the process ends. */
+    fun refusalOrNull(admitted: AdmittedHead, times: RequestTimes): Refusal? =
+        refusalOf(admitted, times)
+
+    fun requestBegan(request: InFlight) {
+        requests += request
+        recentUntil = clock().deadlineAfter(RECENT_MILLISECONDS)
+    }
+
+    fun requestEnded(request: InFlight) {
+        requests -= request
+    }
+
+    /** Ends all requests in flight with an answer that says whether they may have run. */
+    fun interruptAll() = requests.forEach { it.interrupt() }
+
+    private companion object {
+        /** A caller with a persistent connection sends its next request within about a second. */
+        const val RECENT_MILLISECONDS = 700L
+    }
+}
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
@@ -49,6 +49,10 @@
 
     val deadline: Deadline get() = times.deadline
 
+    /** True once the request may have reached a target. */
+    @Volatile
+    var mayHaveRun = false
+
     /** Traits by which the request is recognized if targets crash with it. */
     val traits: Set<RequestTrait> by lazy {
         val caller = workspace?.id?.text.orEmpty()
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -77,6 +77,7 @@
         val request = state.request
         val target = slot.target
         val startedAt = clock()
+        request.mayHaveRun = true
         val result = try {
             attempts.run(request, target, state.mayRepeat, state.progress, answer)
         } finally {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -110,6 +110,10 @@
         }
     }.flatten()
 
+    /** Returns the average time for which a request occupies a slot of [pool]. */
+    fun serviceMilliseconds(pool: GatewayPool): Long =
+        withPool(pool.name) { expectedServiceMilliseconds(pool) }.toLong()
+
     /** Returns the number of requests of each pool that wait and can meet their goal, if any. */
     fun waiting(): List<PoolWaiting> = pools.mapShards { shard ->
         shard.filterValues { it.waitingInTime > 0 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -269,7 +269,8 @@
         )
     }
 
-    private fun expectedServiceMilliseconds(pool: GatewayPool): Double = when {
+    /** Returns the average time for which a request occupies its slot. */
+    fun expectedServiceMilliseconds(pool: GatewayPool): Double = when {
         averageServiceMilliseconds > 0 -> averageServiceMilliseconds
         pool.engine != null -> pool.engine!!.let { it.meanRequestMilliseconds(it.slots) }
         else -> DEFAULT_SERVICE_MILLISECONDS
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import org.tinylog.kotlin.Logger
 import org.vanilladale.core.membership.LeavingState
+import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Leaving
 import org.vanilladale.schema.Timestamp
 import org.vanilladale.schema.VmId
@@ -35,6 +36,17 @@
     /** Returns true when new work is to be refused. */
     public fun refusesNewWork(): Boolean = state.get().refusesNewWork(clock())
 
+    /**
+     * Returns whether a request that most likely ends at [likelyEnd], and at [latestEnd] at the
+     * latest, is accepted.
+     */
+    public fun accepts(likelyEnd: Deadline, latestEnd: Deadline): Boolean =
+        state.get().accepts(clock(), likelyEnd, latestEnd)
+
+    /** Time at which the process ends whatever is in flight; null while the process serves. */
+    public val drainDeadlineOrNull: Deadline?
+        get() = (state.get() as? LeavingState.Announced)?.drainDeadline
+
     /**
      * Announces the stop, unless an earlier call did, and returns when nothing is in flight or the
      * drain deadline passes.
