Bound the comments of a stream and write its events together

Cause: each comment, or pair of blank lines, was an event of its own, decoded, and written with a chunk of its own. 64 KB of blank lines were 32,768 writes in one turn of the event loop, and nothing bounded their number.

Change: comments that arrive together are one piece, found without decoding; more than 256 KB of comments between two events fail the attempt as an oversized event does; events that arrive together are written in one piece.

--- a/core/src/main/kotlin/org/vanilladale/core/stream/EventSplitter.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/stream/EventSplitter.kt
@@ -5,7 +5,7 @@
 import arrow.core.right
 
 /**
- * One event of a `text/event-stream` body.
+ * One event of a `text/event-stream` body, or a run of comments between two events.
  *
  * @property bytes bytes of the event, including the blank line at its end
  * @property id number in the `id` line, or null if there is none
@@ -18,15 +18,19 @@
     public val isComment: Boolean,
 )
 
-/** An event that has more than [limit] bytes without an end; the target has to be left. */
+/**
+ * More than [limit] bytes came without the end of an event with data; the target has to be left.
+ */
 public data class OversizedEvent(val limit: Int)
 
 /**
  * Splits a `text/event-stream` body into events, regardless of the chunks in which it arrives.
  *
  * Only complete events are returned. If a stream breaks off in the middle of an event, another
- * target can therefore continue it after the last complete one. Each byte is looked at once, and at
- * most [maxEventBytes] and one chunk are buffered, whatever a target sends.
+ * target can therefore continue it after the last complete one. Comments that arrive together are
+ * returned as one, so that a target that sends nothing else does not cause a write for each. Each
+ * byte is looked at once, and at most [maxEventBytes] and one chunk are buffered, whatever a target
+ * sends. Comments between two events have the same limit.
  */
 public class EventSplitter(private val maxEventBytes: Int = DEFAULT_MAX_EVENT_BYTES) {
     private var pending = ByteArray(INITIAL_BYTES)
@@ -38,6 +42,15 @@
     /** Start of the line that contains the byte at [scanned]. */
     private var lineStart = 0
 
+    /** End of the comments at the start of the buffer; the next event begins there. */
+    private var commentsEnd = 0
+
+    /** Whether a line of the current event is data or an id. */
+    private var hasData = false
+
+    /** Number of bytes of comments since the last event with data. */
+    private var commentBytes = 0
+
     /** True while bytes of an incomplete event are buffered. */
     public val hasPartialEvent: Boolean get() = size > 0
 
@@ -49,15 +62,35 @@
         while (scanned < size) {
             val index = scanned++
             if (pending[index] != LINE_FEED) continue
-            val isEnd = isBlank(lineStart, index) && lineStart > start
-            lineStart = index + 1
-            if (isEnd) {
-                events += eventOf(pending.copyOfRange(start, lineStart))
-                start = lineStart
+            val isBlank = isBlank(lineStart, index)
+            hasData = hasData || !isBlank && isDataLine(lineStart, index)
+            // Blank lines end an event, and belong to the comments if there is none.
+            if (isBlank && hasData) {
+                addComments(events, start)
+                events += eventOf(pending.copyOfRange(commentsEnd, index + 1))
+                start = index + 1
+                commentsEnd = start
+                commentBytes = 0
+                hasData = false
+            } else if (isBlank) {
+                commentsEnd = index + 1
             }
+            lineStart = index + 1
+        }
+        addComments(events, start)
+        discard(commentsEnd)
+        return if (maxOf(size, commentBytes) > maxEventBytes) {
+            OversizedEvent(maxEventBytes).left()
+        } else {
+            events.right()
         }
-        discard(start)
-        return if (size > maxEventBytes) OversizedEvent(maxEventBytes).left() else events.right()
+    }
+
+    /** Adds the comments that begin at [start], if there are any, to [events]. */
+    private fun addComments(events: MutableList<StreamEvent>, start: Int) {
+        if (commentsEnd <= start) return
+        commentBytes += commentsEnd - start
+        events += StreamEvent(pending.copyOfRange(start, commentsEnd), id = null, isComment = true)
     }
 
     private fun append(bytes: ByteArray) {
@@ -68,15 +101,22 @@
         size += bytes.size
     }
 
-    /** Drops the bytes before [start], which have been returned as events. */
+    /** Drops the bytes before [start], which have been returned. */
     private fun discard(start: Int) {
         if (start == 0) return
         pending.copyInto(pending, 0, start, size)
         size -= start
         scanned -= start
         lineStart -= start
+        commentsEnd = 0
     }
 
+    private fun isDataLine(from: Int, lineFeed: Int): Boolean =
+        startsWith(ID_BYTES, from, lineFeed) || startsWith(DATA_BYTES, from, lineFeed)
+
+    private fun startsWith(prefix: ByteArray, from: Int, end: Int): Boolean =
+        end - from >= prefix.size && prefix.indices.all { pending[from + it] == prefix[it] }
+
     private fun isBlank(from: Int, lineFeed: Int): Boolean =
         lineFeed == from || (lineFeed == from + 1 && pending[from] == CARRIAGE_RETURN)
 
@@ -84,8 +124,7 @@
         val lines = bytes.decodeToString().lineSequence()
         val id = lines.firstOrNull { it.startsWith(ID_FIELD) }
             ?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
-        val isComment = lines.none { it.startsWith(ID_FIELD) || it.startsWith(DATA_FIELD) }
-        return StreamEvent(bytes, id, isComment)
+        return StreamEvent(bytes, id, isComment = false)
     }
 
     public companion object {
@@ -96,6 +135,7 @@
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private const val ID_FIELD = "id:"
-        private const val DATA_FIELD = "data"
+        private val ID_BYTES = ID_FIELD.encodeToByteArray()
+        private val DATA_BYTES = "data".encodeToByteArray()
     }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerAnswer.kt
@@ -30,8 +30,8 @@
     }
 
     /** Writes a part, and waits if the caller reads too slowly. */
-    suspend fun writePart(bytes: ByteArray) {
-        val written = response.write(Buffer.buffer(bytes))
+    suspend fun writePart(part: Buffer) {
+        val written = response.write(part)
         if (response.writeQueueFull()) written.coAwait()
     }
 
