Leave targets alone that say they are leaving or ask for time

Callers got refusals and repeats from replicas that had said in an answer that they were leaving (Server-Leaving) or wanted no requests for a time (503 with Retry-After). Nothing read either header.

Only an answer that names this request, comes from the expected target and is signed or says "not run" counts. core/TargetStatements keeps them for one start of a target (field born of its entry), while the store is away too. No path places a request at such a target: first attempts, retries, resumed streams and waiting requests all take their slot from TargetDirectory.usable. A pause is no failure of the target. After a pause one request of this entry comes first. Peers are not told: a pause concerns the entry that was turned away, and the store tells them of leaving targets.

Not done: orders and queries to ranks (RankClient) don't read these statements and are not held back by a pause.

--- a/core/src/main/kotlin/org/vanilladale/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/admission/FairQueue.kt
@@ -62,6 +62,9 @@
         require(capacity >= 0) { "The queue capacity must not be negative; found $capacity" }
     }
 
+    /** Keys of the waiting requests. */
+    public val keys: List<K> get() = byKey.keys.toList()
+
     /** Number of waiting requests. */
     public val size: Int get() = byKey.size
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/KnownTarget.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/KnownTarget.kt
@@ -5,6 +5,7 @@
 import org.vanilladale.schema.PoolName
 import org.vanilladale.schema.SocketAddressText
 import org.vanilladale.schema.TargetId
+import org.vanilladale.schema.Timestamp
 
 /**
  * A target as the platform lists it.
@@ -12,6 +13,7 @@
  * @property slots number of requests that the target runs at a time
  * @property leaving whether the target has announced that it is shutting down
  * @property seat membership in a rank group; null if the target belongs to none
+ * @property startedAt start of the process that the target states; null if it states none
  */
 public data class KnownTarget(
     val id: TargetId,
@@ -21,6 +23,7 @@
     val slots: Int,
     val leaving: Boolean,
     val seat: GroupMembership?,
+    val startedAt: Timestamp? = null,
 ) {
     /** Whether the target takes no requests because its rank group is not open. */
     val isInClosedGroup: Boolean get() = seat?.isOpen == false
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetDirectory.kt
@@ -16,6 +16,7 @@
 public class TargetDirectory(private val graceMilliseconds: Long = DEFAULT_GRACE_MILLISECONDS) {
     private val listed = LinkedHashMap<TargetId, KnownTarget>()
     private val missingUntil = HashMap<TargetId, Deadline>()
+    private val statements = TargetStatements()
 
     /** Number of targets that are listed or within their grace period. */
     public val size: Int get() = listed.size
@@ -24,7 +25,7 @@
     public val slots: Int get() = listed.values.sumOf { it.slots }
 
     /** Targets that are not leaving. */
-    public val placeable: List<KnownTarget> get() = listed.values.filter { !it.leaving }
+    public val placeable: List<KnownTarget> get() = listed.values.filter { !isLeaving(it) }
 
     /**
      * Difference between two lists: targets that are [gone], and targets that are new or [changed].
@@ -66,14 +67,44 @@
     public fun remove(id: TargetId) {
         listed.remove(id)
         missingUntil.remove(id)
+        statements.targetRemoved(id)
     }
 
-    /** Removes expired targets and returns the targets of [pool] that are not leaving. */
+    /** Removes expired targets and returns the targets of [pool] that take requests at [now]. */
     public fun usable(pool: PoolName, now: Timestamp): List<KnownTarget> {
         missingUntil.filterValues { it.hasPassed(now) }.keys.toList().forEach(::remove)
-        return listed.values.filter { it.pool == pool && !it.leaving }
+        return listed.values.filter {
+            it.pool == pool && !isLeaving(it) && statements.pauseEndOrNull(it, now) == null
+        }
+    }
+
+    /**
+     * Returns the time at which the first pause of a target of [pool] ends if all its targets ask
+     * for time, or else null.
+     */
+    public fun pauseEndOrNull(pool: PoolName, now: Timestamp): Deadline? {
+        val ends = listed.values.filter { it.pool == pool && !isLeaving(it) }
+            .map { statements.pauseEndOrNull(it, now) ?: return null }
+        return ends.minOrNull()
     }
 
+    /** Records that [target] says that it is leaving. Returns whether that is new. */
+    public fun recordLeaving(target: KnownTarget): Boolean = statements.recordLeaving(target)
+
+    /** Records that [target] wants no requests until [end]. */
+    public fun recordPause(target: KnownTarget, end: Deadline): Unit =
+        statements.recordPause(target, end)
+
+    /** Records an answer of [target] without such a wish. */
+    public fun recordAnswer(target: KnownTarget, now: Timestamp): Unit =
+        statements.recordAnswer(target, now)
+
+    /** Returns whether a pause of [target] ended a short time ago without an answer since. */
+    public fun isRecovering(target: KnownTarget, now: Timestamp): Boolean =
+        statements.isRecovering(target, now)
+
+    private fun isLeaving(target: KnownTarget) = target.leaving || statements.isLeaving(target)
+
     /**
      * Returns the targets of each open group of [pool], ordered by rank. Groups with missing ranks
      * or with ranks of different epochs are left out.
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -13,6 +13,7 @@
  * @property avoided whether this entry recently could not reach the target
  * @property isSameDataCentre whether the target is in the data centre of this entry
  * @property isHome whether this entry prefers the target to others; see [HomeTargets]
+ * @property isRecovering whether a pause that the target asked for ended a short time ago
  */
 public data class PlacementCandidate(
     val target: KnownTarget,
@@ -23,7 +24,11 @@
     val isSameDataCentre: Boolean,
     val isHome: Boolean = false,
     val ownRunning: Int = 0,
-)
+    val isRecovering: Boolean = false,
+) {
+    /** True if one request of this entry is to show first whether the target is well again. */
+    val isOnTrial: Boolean get() = isRecovering && ownRunning > 0
+}
 
 /** How far a request may fill the groups of a pool. */
 public enum class Urgency {
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/TargetDirectoryTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/TargetDirectoryTest.kt
@@ -54,4 +54,60 @@
         directory.put(target("b", seat = seat("g", 0, epoch = 2)))
         expectThat(directory.openGroups(model)).isEqualTo(emptyMap())
     }
+
+    @Test
+    fun `a target that says it is leaving gets no requests while it is listed as ready`() {
+        directory.put(target("a"))
+        expectThat(directory.recordLeaving(target("a"))).isEqualTo(true)
+        expectThat(directory.recordLeaving(target("a"))).isEqualTo(false)
+        directory.put(target("a"))
+        expectThat(usable(0)).isEmpty()
+        expectThat(directory.placeable).isEmpty()
+    }
+
+    @Test
+    fun `a target that is listed anew after it was gone is not bound by its earlier statement`() {
+        directory.put(target("a"))
+        directory.recordLeaving(target("a"))
+        directory.remove(target("a").id)
+        directory.put(target("a"))
+        expectThat(usable(0)).containsExactly("a")
+    }
+
+    @Test
+    fun `a statement holds for the start of the process that made it`() {
+        val first = target("a").copy(startedAt = at(1))
+        directory.put(first)
+        directory.recordLeaving(first)
+        // The registration of a process that goes on running may lapse during an outage.
+        directory.remove(first.id)
+        directory.put(first)
+        expectThat(usable(0)).isEmpty()
+        directory.put(first.copy(startedAt = at(2)))
+        expectThat(usable(0)).containsExactly("a")
+    }
+
+    @Test
+    fun `a target that asks for time gets requests after its pause and is on trial first`() {
+        directory.replaceAll(listOf(target("a"), target("b")), false, at(0))
+        directory.recordPause(target("a"), at(0).deadlineAfter(500))
+        expectThat(usable(499)).containsExactly("b")
+        expectThat(directory.pauseEndOrNull(model, at(499))).isEqualTo(null)
+        directory.recordAnswer(target("a"), at(499))
+        expectThat(directory.isRecovering(target("a"), at(500))).isEqualTo(true)
+        expectThat(usable(500)).containsExactly("a", "b")
+        directory.recordAnswer(target("a"), at(510))
+        expectThat(directory.isRecovering(target("a"), at(520))).isEqualTo(false)
+    }
+
+    @Test
+    fun `the first of all pauses ends the pause of the pool and a shorter one shortens none`() {
+        directory.replaceAll(listOf(target("a"), target("b")), false, at(0))
+        directory.recordPause(target("a"), at(0).deadlineAfter(2_500))
+        directory.recordPause(target("a"), at(0).deadlineAfter(200))
+        directory.recordPause(target("b"), at(0).deadlineAfter(900))
+        expectThat(directory.pauseEndOrNull(model, at(100))).isEqualTo(at(0).deadlineAfter(900))
+        expectThat(usable(900)).containsExactly("b")
+        expectThat(usable(2_499)).containsExactly("b")
+    }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
@@ -16,6 +16,7 @@
      * The caller has not received a complete answer.
      *
      * @property isCrash whether the target crashed before it sent anything of its answer
+     * @property isPause whether the target is well and asks for time
      * @property answer error answer of the target, which the caller receives if no other attempt
      *   follows
      */
@@ -24,5 +25,6 @@
         val detail: String,
         val answer: BufferedAnswer? = null,
         val isCrash: Boolean = false,
+        val isPause: Boolean = false,
     ) : AttemptResult
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -16,6 +16,7 @@
  * Runs one attempt at one target and relays its answer to the caller.
  *
  * @param buffers memory for the plain answers of all attempts
+ * @param onHead called for the head of each answer
  * @param onFirstEvent called for the first event of each attempt
  * @param onGap called for the pause before each further event
  */
@@ -26,6 +27,7 @@
     private val timeouts: AttemptTimeouts,
     private val buffers: BufferBudget,
     private val clock: () -> Timestamp,
+    private val onHead: (ForwardedRequest, KnownTarget, TargetHead) -> Unit,
     private val onFirstEvent: (ForwardedRequest) -> Unit,
     private val onGap: (ForwardedRequest, KnownTarget, Long) -> Unit,
 ) {
@@ -85,7 +87,8 @@
         progress: StreamProgress?,
         answer: CallerAnswer,
     ): AttemptResult {
-        val head = dialect.readAnswerHead(response, attempt.request.head.request)
+        val head = dialect.readAnswerHead(response, attempt.request.head.request, clock())
+        onHead(attempt.request, attempt.target, head)
         return faultOrNull(head) ?: when {
             head.isSuccess && head.isOtherMedia && answer.isStarted ->
                 AttemptResult.Failed(AttemptEnd.BROKEN, "no stream in answer to a resume")
@@ -108,7 +111,11 @@
 
         head.isOtherTarget -> AttemptResult.Failed(AttemptEnd.WRONG_TARGET, "another target")
 
-        head.isNotRun -> AttemptResult.Failed(AttemptEnd.REJECTED, "status ${head.status}")
+        head.isNotRun -> AttemptResult.Failed(
+            AttemptEnd.REJECTED,
+            "status ${head.status}",
+            isPause = head.pauseEnd != null,
+        )
 
         !head.echoesRequest || head.isEncoded ->
             AttemptResult.Failed(AttemptEnd.BROKEN, "not the answer to this request")
@@ -182,7 +189,10 @@
             } ?: return AttemptResult.Failed(AttemptEnd.SILENT, "no event in time")
             val bytes = part.bytes ?: break
             val events = splitter.feed(bytes.bytes).getOrElse {
-                return AttemptResult.Failed(AttemptEnd.BROKEN, "event or comments over ${it.limit} bytes")
+                return AttemptResult.Failed(
+                    AttemptEnd.BROKEN,
+                    "event or comments over ${it.limit} bytes",
+                )
             }
             relay.deliver(events)
         }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -97,8 +97,10 @@
                 if (!result.end.provenNotRun) state.possibleRuns++
                 if (result.isCrash) suspects.recordCrash(request)
                 if (result.answer != null) state.answer = result.answer
-                dispatcher.observe(request.pool.name) { now ->
-                    recordFailure(result.end, target.id, now)
+                if (!result.isPause) {
+                    dispatcher.observe(request.pool.name) { now ->
+                        recordFailure(result.end, target.id, now)
+                    }
                 }
                 log.log(
                     GatewayEvent.AttemptFailed(
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -106,6 +106,14 @@
     private val suspects = CrashWatch(TraitSuspects(), log, metrics, clock) {
         heartbeats.send()
     }
+    private val statements =
+        StatementWatch(directory, log, metrics, clock) { request, pauseEnd ->
+            dispatcher.pauseBegan(request.pool.name)
+            scope.launch {
+                delay(pauseEnd.millisecondsLeft(clock()))
+                dispatcher.retryWaiting()
+            }
+        }
     private val admission = RequestAdmission({ storeCache.tables }, ::isOutdated, random)
 
     private val mover = ExpertMover(
@@ -296,6 +304,7 @@
             AttemptTimeouts(clock),
             answerBuffers,
             clock,
+            statements::recordHead,
             suspects::recordAnswer,
         ) { request, target, gap ->
             metrics.recordGap(gap)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -36,6 +36,20 @@
         val position: Long,
     ) : GatewayEvent
 
+    /**
+     * A target said in its answer to [request] that it is leaving (`leaving`) or wants no requests
+     * for [pauseMilliseconds] (`pause`), or something that is neither (`odd`).
+     */
+    @Serializable
+    @SerialName("target-says")
+    public data class TargetStatement(
+        val target: String,
+        val statement: String,
+        val request: String,
+        val detail: String? = null,
+        val pauseMilliseconds: Long? = null,
+    ) : GatewayEvent
+
     /** The store became unavailable or available again, or lost its history. */
     @Serializable
     @SerialName("store")
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -12,6 +12,7 @@
 import org.vanilladale.core.gateway.HomeTargets
 import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.gateway.PassTiming
+import org.vanilladale.core.gateway.PauseRule
 import org.vanilladale.core.gateway.PlacementCandidate
 import org.vanilladale.core.gateway.TargetDirectory
 import org.vanilladale.core.gateway.TargetOutcomes
@@ -20,6 +21,7 @@
 import org.vanilladale.core.shard.Locked
 import org.vanilladale.core.shard.Sharded
 import org.vanilladale.schema.DataCentreName
+import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.PoolName
 import org.vanilladale.schema.PoolWaiting
 import org.vanilladale.schema.TargetId
@@ -52,7 +54,8 @@
     ): Either<Refusal, Slot> {
         val poolName = request.pool.name
         val waiter = Waiter(request, tried, isContinued)
-        val waitDeadline = withPool(poolName) { admit(waiter, clock()) }
+        val pauseEnd = pauseEndOrNull(poolName)
+        val waitDeadline = withPool(poolName) { admit(waiter, clock(), pauseEnd) }
             .fold({ return it.left() }, { it })
         onLoadChanged()
         val slot = try {
@@ -62,11 +65,23 @@
             cancelWaiting(poolName, waiter)?.let { release(poolName, it.target.id, clock()) }
             throw cancelled
         }
-        return slot?.right() ?: Refusal(
+        return slot?.right() ?: refusalOfWaiter(poolName).left()
+    }
+
+    private fun refusalOfWaiter(pool: PoolName): Refusal =
+        pauseEndOrNull(pool)?.let { PauseRule.refusal(it, random) } ?: Refusal(
             RefusalReason.TARGET_OVERLOADED,
             detail = "no place became free in time",
             retryAt = clock().deadlineAfter(RETRY_AFTER_MILLISECONDS),
-        ).left()
+        )
+
+    private fun pauseEndOrNull(pool: PoolName): Deadline? =
+        directory.use { it.pauseEndOrNull(pool, clock()) }
+
+    /** Refuses the requests that can't wait until a target of [pool] takes requests again. */
+    fun pauseBegan(pool: PoolName) {
+        val pauseEnd = pauseEndOrNull(pool) ?: return
+        withPool(pool) { refuseWaitersBefore(pauseEnd) }
     }
 
     /** Releases a slot that was taken at [takenAt]. */
@@ -144,6 +159,8 @@
         now: Timestamp,
     ): List<PlacementCandidate> {
         val targets = directory.use { it.usable(pool, now) }
+        val recovering =
+            directory.use { known -> targets.filter { known.isRecovering(it, now) } }.toSet()
         val home = homeTargets()
         return fleet.use { view ->
             targets.map { target ->
@@ -164,6 +181,7 @@
                     target.dataCentre == ownDataCentre,
                     target.id in home,
                     state.running(target.id),
+                    target in recovering,
                 )
             }
         }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -11,6 +11,7 @@
 import org.vanilladale.core.gateway.GatewayPool
 import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.gateway.PassTiming
+import org.vanilladale.core.gateway.PauseRule
 import org.vanilladale.core.gateway.PlacementCandidate
 import org.vanilladale.core.gateway.PoolBacklog
 import org.vanilladale.core.gateway.QueueingRule
@@ -103,8 +104,14 @@
 
     /**
      * Assigns [waiter] a slot immediately, or queues it until the returned deadline, or refuses it.
+     *
+     * @param pauseEnd time until which all targets of the pool ask for time, or null
      */
-    fun admit(waiter: Waiter, now: Timestamp): Either<Refusal, Deadline> {
+    fun admit(
+        waiter: Waiter,
+        now: Timestamp,
+        pauseEnd: Deadline? = null,
+    ): Either<Refusal, Deadline> {
         val request = waiter.request
         waiter.isLate = !waiter.isContinued &&
             goalDeadlineOf(request).millisecondsLeft(now) <= firstAnswerMilliseconds(now)
@@ -116,7 +123,9 @@
                 return request.deadline.right()
             }
         }
-        val decision = if (waiter.isContinued) {
+        val decision = if (pauseEnd != null) {
+            PauseRule.decide(pauseEnd, request.deadline, now, random)
+        } else if (waiter.isContinued) {
             minOf(
                 now.deadlineAfter(MAX_CONTINUED_WAIT_MILLISECONDS),
                 request.deadline,
@@ -202,6 +211,15 @@
         if (waiting > 0 && isOwnTurn) fill(now)
     }
 
+    /** Refuses the requests that stop waiting before [pauseEnd]. */
+    fun refuseWaitersBefore(pauseEnd: Deadline) {
+        val waiters = continued.keys + fresh.keys + late.keys + listOfNotNull(head)
+        waiters.filter { it.waitDeadline <= pauseEnd }.forEach { waiter ->
+            remove(waiter)
+            waiter.slot.complete(null)
+        }
+    }
+
     /** Removes [waiter] from the queues. */
     fun remove(waiter: Waiter) {
         if (head === waiter) head = null
@@ -230,7 +248,7 @@
 
     private fun assignOrNull(waiter: Waiter, all: List<PlacementCandidate>, now: Timestamp): Slot? {
         val request = waiter.request
-        val untried = all.filter { it.target.id !in waiter.tried }
+        val untried = all.filter { it.target.id !in waiter.tried && !it.isOnTrial }
         val chosen = placement.chooseOrNull(
             untried,
             request.pool.engine,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
@@ -1,5 +1,7 @@
 package org.vanilladale.gateway
 
+import org.vanilladale.schema.Deadline
+
 /**
  * Head of a target's answer, independent of the protocol.
  *
@@ -10,6 +12,9 @@
  * @property isOtherTarget whether the address belongs to another target than the expected one
  * @property isOtherMedia whether the answer states that its body is no stream of events
  * @property isEncoded whether the body has a content encoding that was not requested
+ * @property isLeaving whether the target says that it is leaving
+ * @property pauseEnd time until which the target wants no requests from this entry, if it says so
+ * @property oddStatements values of such statements that were ignored or changed
  */
 public data class TargetHead(
     val status: Int,
@@ -20,7 +25,17 @@
     val isOtherTarget: Boolean,
     val isOtherMedia: Boolean,
     val isEncoded: Boolean,
+    val isLeaving: Boolean = false,
+    val pauseEnd: Deadline? = null,
+    val oddStatements: List<String> = emptyList(),
 ) {
+    /**
+     * True if the answer is about this request and from the expected target, so that what it says
+     * of its sender holds for that target.
+     */
+    public val speaksForTarget: Boolean
+        get() = echoesRequest && !isOtherTarget && (isSigned || isNotRun)
+
     /** True for a status that indicates success. */
     public val isSuccess: Boolean get() = status in SUCCESS_STATUSES
 
