Split the planned stop from the gateway

GatewayStop now holds the times of the stop, what is accepted during it and the answers at its end; Gateway only wires it. No behaviour changes: PlannedStopRequestsTest, BrokenAnswerTest and CutAnswerTest pass.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -14,7 +14,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.vanilladale.core.admission.BufferBudget
 import org.vanilladale.core.crash.TraitSuspects
 import org.vanilladale.core.gateway.AddressCandidate
@@ -28,11 +27,8 @@
 import org.vanilladale.core.gateway.PeerEntry
 import org.vanilladale.core.gateway.TargetDirectory
 import org.vanilladale.core.membership.entryIncarnation
-import org.vanilladale.core.refusal.Refusal
-import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.core.shard.Locked
 import org.vanilladale.runtime.EventLog
-import org.vanilladale.runtime.PlannedStop
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.runtime.steadyNow
 import org.vanilladale.schema.DataCentreName
@@ -148,34 +144,17 @@
         ::peerUpdated,
     )
 
-    /** Time from the stop signal until the last requests in flight are interrupted. */
-    private val stopMilliseconds =
-        ((settings.graceSeconds * MILLISECONDS_PER_SECOND).toLong() - EXIT_MILLISECONDS)
-            .coerceAtLeast(0)
-    private val noticeMilliseconds = minOf(NOTICE_MILLISECONDS, stopMilliseconds)
-
-    private val drain: DrainState = DrainState(
-        clock,
-        { plannedStop.leavingOrNull != null },
-        ::leavingRefusalOrNull,
-    )
-    private val plannedStop: PlannedStop = PlannedStop(
-        settings.vm,
-        stopMilliseconds - noticeMilliseconds,
+    private val plannedStop: GatewayStop = GatewayStop(
+        settings,
+        log,
         clock,
-        { drain.inFlight },
-        { heartbeats.send() },
-        { drain.hasRecentRequests },
-        noticeMilliseconds,
-    )
+        { dispatcher.serviceMilliseconds(it) },
+        { fleet.use { view -> view.live.any { it.isServing } } },
+    ) { heartbeats.send() }
 
     @Volatile
     private var isServingCallers = false
 
-    /** True once the requests that are left in a planned stop are being interrupted. */
-    @Volatile
-    private var isEnding = false
-
     @Volatile
     private var homeTargets: Set<TargetId> = emptySet()
 
@@ -183,10 +162,10 @@
     private var callerFacingEntries = 1
 
     /** True while callers may send requests to this entry. */
-    public val isReady: Boolean get() = isServingCallers && plannedStop.leavingOrNull == null
+    public val isReady: Boolean get() = isServingCallers && !plannedStop.isLeaving
 
     /** Number of requests that have not been answered completely. */
-    public val inFlight: Int get() = drain.inFlight
+    public val inFlight: Int get() = plannedStop.drain.inFlight
 
     /**
      * Contacts the peers, reads the store and then serves callers. Requests are refused until the
@@ -220,32 +199,12 @@
         log.log(GatewayEvent.Reloaded(seeds.size, fault))
     }
 
-    /** Stops accepting requests, waits for requests in flight and returns. */
+    /** Stops accepting requests, waits for requests in flight, answers the rest and returns. */
     public suspend fun stop() {
-        log.log(GatewayEvent.Stopping("began", drain.inFlight))
         plannedStop.run()
-        isEnding = true
-        log.log(GatewayEvent.Stopping("ended", drain.inFlight))
-        drain.interruptAll()
-        withTimeoutOrNull(INTERRUPT_MILLISECONDS) {
-            while (drain.inFlight > 0) delay(INTERRUPT_POLL_MILLISECONDS)
-        }
         eventLog.flush()
     }
 
-    /** Returns the refusal of a request that could not be answered before this process ends. */
-    private fun leavingRefusalOrNull(admitted: AdmittedHead, times: RequestTimes): Refusal? {
-        val stopDeadline = plannedStop.drainDeadlineOrNull ?: return null
-        val likelyEnd = clock().deadlineAfter(dispatcher.serviceMilliseconds(admitted.pool))
-        if (!isEnding && plannedStop.accepts(likelyEnd, times.deadline)) return null
-        // Callers use another entry at once, if there is one.
-        val hasOtherEntries = fleet.use { view -> view.live.any { it.isServing } }
-        return Refusal(
-            RefusalReason.LEAVING,
-            retryAt = if (hasOtherEntries) null else stopDeadline,
-        )
-    }
-
     /** Returns the addresses of the entries that a caller in data centre [near] should use. */
     public fun addressesFor(near: DataCentreName?): List<SocketAddressText> {
         val (live, lost) = fleet.use { view -> view.live.toList() to view.lost.toList() }
@@ -268,7 +227,7 @@
             dialect,
             admission,
             ::createForwarder,
-            drain,
+            plannedStop.drain,
             refusals,
             log,
             metrics,
@@ -361,7 +320,7 @@
         incarnation,
         sequence.incrementAndGet(),
         when {
-            plannedStop.leavingOrNull != null -> EntryPhase.LEAVING
+            plannedStop.isLeaving -> EntryPhase.LEAVING
             isServingCallers -> EntryPhase.SERVING
             else -> EntryPhase.STARTING
         },
@@ -404,21 +363,6 @@
         SocketAddressText.parse("$ip:${settings.callerAddress.port}")
 
     private companion object {
-        /**
-         * Callers keep a list of addresses for up to three times its lifetime of one second. The
-         * signal may have been sent some hundred milliseconds before this process handles it.
-         */
-        const val NOTICE_MILLISECONDS = 2_700L
-
-        /**
-         * Part of the grace period in which the last requests are answered, the log is written and
-         * the process ends. On a VM with half a core, this takes up to a third of a second.
-         */
-        const val EXIT_MILLISECONDS = 500L
-
-        /** Leaves the rest of [EXIT_MILLISECONDS] to the log and the exit. */
-        const val INTERRUPT_MILLISECONDS = 200L
-        const val INTERRUPT_POLL_MILLISECONDS = 5L
         const val START_POLL_MILLISECONDS = 10L
 
         /** A quarter of the time after which a silent entry counts as lost. */
@@ -432,7 +376,6 @@
 
         /** After this time the port is assumed to be used by another program. */
         const val LISTEN_TIMEOUT_MILLISECONDS = 2_000L
-        const val MILLISECONDS_PER_SECOND = 1_000
 
         /** Leaves three quarters of the memory to everything else. */
         const val ANSWER_BUFFER_DIVISOR = 4
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -0,0 +1,97 @@
+package org.vanilladale.gateway
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.vanilladale.core.gateway.GatewayPool
+import org.vanilladale.core.membership.LeavingState
+import org.vanilladale.core.refusal.Refusal
+import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.runtime.PlannedStop
+import org.vanilladale.schema.GatewaySettings
+import org.vanilladale.schema.Timestamp
+
+/**
+ * Planned stop of a gateway within its grace period.
+ *
+ * Requests are accepted as long as they can end in time; see [LeavingState.accepts]. Those that are
+ * still in flight shortly before the forced end are answered, so that their callers learn whether
+ * they may have run.
+ *
+ * @param serviceMilliseconds returns the average time in a slot of a pool
+ * @param hasOtherEntries whether another entry serves callers
+ * @param announce tells the peers that this entry is leaving
+ */
+internal class GatewayStop(
+    settings: GatewaySettings,
+    private val log: GatewayLog,
+    private val clock: () -> Timestamp,
+    private val serviceMilliseconds: (GatewayPool) -> Long,
+    private val hasOtherEntries: () -> Boolean,
+    announce: () -> Unit,
+) {
+    /** Requests of callers in flight. */
+    val drain: DrainState = DrainState(clock, { isLeaving }, ::refusalOrNull)
+
+    /** True once the requests that are left are being interrupted. */
+    @Volatile
+    private var isEnding = false
+
+    /** Time from the stop signal until the requests that are left are interrupted. */
+    private val stopMilliseconds =
+        ((settings.graceSeconds * MILLISECONDS_PER_SECOND).toLong() - EXIT_MILLISECONDS)
+            .coerceAtLeast(0)
+    private val noticeMilliseconds = minOf(NOTICE_MILLISECONDS, stopMilliseconds)
+    private val plannedStop = PlannedStop(
+        settings.vm,
+        stopMilliseconds - noticeMilliseconds,
+        clock,
+        { drain.inFlight },
+        { announce() },
+        { drain.hasRecentRequests },
+        noticeMilliseconds,
+    )
+
+    /** True once the stop has been announced. */
+    val isLeaving: Boolean get() = plannedStop.leavingOrNull != null
+
+    /** Announces the stop and returns when no request is in flight or the grace period ends. */
+    suspend fun run() {
+        log.log(GatewayEvent.Stopping("began", drain.inFlight))
+        plannedStop.run()
+        isEnding = true
+        log.log(GatewayEvent.Stopping("ended", drain.inFlight))
+        drain.interruptAll()
+        withTimeoutOrNull(INTERRUPT_MILLISECONDS) {
+            while (drain.inFlight > 0) delay(INTERRUPT_POLL_MILLISECONDS)
+        }
+    }
+
+    /** Returns the refusal of a request that could not be answered before this process ends. */
+    private fun refusalOrNull(admitted: AdmittedHead, times: RequestTimes): Refusal? {
+        val stopDeadline = plannedStop.drainDeadlineOrNull ?: return null
+        val likelyEnd = clock().deadlineAfter(serviceMilliseconds(admitted.pool))
+        if (!isEnding && plannedStop.accepts(likelyEnd, times.deadline)) return null
+        // Callers use another entry at once, if there is one.
+        val retryAt = if (hasOtherEntries()) null else stopDeadline
+        return Refusal(RefusalReason.LEAVING, retryAt = retryAt)
+    }
+
+    private companion object {
+        /**
+         * Callers keep a list of addresses for up to three times its lifetime of one second. The
+         * signal may have been sent some hundred milliseconds before this process handles it.
+         */
+        const val NOTICE_MILLISECONDS = 2_700L
+
+        /**
+         * Part of the grace period in which the last requests are answered, the log is written and
+         * the process ends. On a VM with half a core, this takes up to a third of a second.
+         */
+        const val EXIT_MILLISECONDS = 500L
+
+        /** Leaves the rest of [EXIT_MILLISECONDS] to the log and the exit. */
+        const val INTERRUPT_MILLISECONDS = 200L
+        const val INTERRUPT_POLL_MILLISECONDS = 5L
+        const val MILLISECONDS_PER_SECOND = 1_000
+    }
+}
