Log what a planned stop accepts, what it ends and what is open then

The log could not tell the hypotheses of docs/incidents/cut-around-sigterm.md apart: nothing said when a request that a stop ends had been accepted, what was expected of it then, how far it had come, or how many connections were open when the process ended.

Change: accepted-while-leaving names the request, the likely and the latest duration and the time left; refusals and cuts at the end of a stop say how far the request had come; stopping has a last stage and the number of open connections.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -54,6 +54,7 @@
             .setIdleTimeout(shared.limits.idleTimeoutMilliseconds.toInt())
             .setAcceptBacklog(ACCEPT_BACKLOG)
         vertx.createHttpServer(options)
+            .connectionHandler(shared.drain::connectionOpened)
             .requestHandler(::receive)
             .listen(shared.address.port, shared.address.host)
             .coAwait()
@@ -201,10 +202,19 @@
             vertx.setTimer(LINGER_MILLISECONDS) { request.connection().close() }
         }
 
+        /** How far the request has come, in words for the log. */
+        private val progress: String
+            get() = when {
+                forwarded == null -> "its body is not complete"
+                answer.isStarted -> "its answer has begun"
+                forwarded?.mayHaveRun == true -> "it is at a target"
+                else -> "it waits for a place"
+            }
+
         /** Refuses the request, or closes its connection if part of the answer was written. */
         private fun interrupt() {
             val run = if (forwarded?.mayHaveRun == true) RunState.UNKNOWN else RunState.NO
-            refuse(Refusal(RefusalReason.LEAVING, run, "the process ends"))
+            refuse(Refusal(RefusalReason.LEAVING, run, "the process ends: $progress"))
             job?.cancel()
         }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/DrainState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/DrainState.kt
@@ -1,5 +1,6 @@
 package org.vanilladale.gateway
 
+import io.vertx.core.http.HttpConnection
 import java.util.concurrent.ConcurrentHashMap
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.schema.Timestamp
@@ -17,6 +18,7 @@
     private val refusalOf: (AdmittedHead, RequestTimes) -> Refusal?,
 ) {
     private val requests = ConcurrentHashMap.newKeySet<InFlight>()
+    private val openConnections = ConcurrentHashMap.newKeySet<HttpConnection>()
 
     @Volatile
     private var recentUntil = clock().deadlineAfter(0)
@@ -24,6 +26,9 @@
     /** A request in flight. [interrupt] answers it, or closes its connection, at once. */
     class InFlight(val interrupt: () -> Unit)
 
+    /** Number of open connections of callers. */
+    val connections: Int get() = openConnections.size
+
     /** Number of requests whose answers have not been written completely. */
     val inFlight: Int get() = requests.size
 
@@ -37,6 +42,12 @@
     fun refusalOrNull(admitted: AdmittedHead, times: RequestTimes): Refusal? =
         refusalOf(admitted, times)
 
+    /** Tracks [connection] until it is closed. */
+    fun connectionOpened(connection: HttpConnection) {
+        openConnections += connection
+        connection.closeHandler { openConnections -= connection }
+    }
+
     fun requestBegan(request: InFlight) {
         requests += request
         recentUntil = clock().deadlineAfter(RECENT_MILLISECONDS)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -11,10 +11,32 @@
     @SerialName("started")
     public data class Started(val dataCentre: String, val tookMilliseconds: Long) : GatewayEvent
 
-    /** A planned stop began or ended. */
+    /**
+     * A planned stop reached [stage] [afterMilliseconds] after it began: `began`, `ended` when it
+     * waits for no more answers, or `closed` when the process ends.
+     */
     @Serializable
     @SerialName("stopping")
-    public data class Stopping(val stage: String, val inFlight: Int) : GatewayEvent
+    public data class Stopping(
+        val stage: String,
+        val inFlight: Int,
+        val connections: Int,
+        val afterMilliseconds: Long,
+    ) : GatewayEvent
+
+    /**
+     * A request was accepted during a planned stop at [step], because [likelyMilliseconds] or, if
+     * that is unknown or the notice is over, [latestMilliseconds] are at most [leftMilliseconds].
+     */
+    @Serializable
+    @SerialName("accepted-while-leaving")
+    public data class AcceptedWhileLeaving(
+        val request: String,
+        val step: String,
+        val likelyMilliseconds: Long?,
+        val latestMilliseconds: Long,
+        val leftMilliseconds: Long,
+    ) : GatewayEvent
 
     /** Settings were reloaded. */
     @Serializable
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -7,6 +7,7 @@
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.runtime.PlannedStop
+import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.GatewaySettings
 import org.vanilladale.schema.Timestamp
 
@@ -56,26 +57,56 @@
 
     /** Announces the stop and returns when no request is in flight or the grace period ends. */
     suspend fun run() {
-        log.log(GatewayEvent.Stopping("began", drain.inFlight))
+        val beganAt = clock()
+        logStage("began", beganAt)
         plannedStop.run()
         isEnding = true
-        log.log(GatewayEvent.Stopping("ended", drain.inFlight))
+        logStage("ended", beganAt)
         drain.interruptAll()
         withTimeoutOrNull(INTERRUPT_MILLISECONDS) {
             while (drain.inFlight > 0) delay(INTERRUPT_POLL_MILLISECONDS)
         }
+        logStage("closed", beganAt)
+    }
+
+    private fun logStage(stage: String, beganAt: Timestamp) {
+        val afterMilliseconds = clock().millisecondsSince(beganAt)
+        val event =
+            GatewayEvent.Stopping(stage, drain.inFlight, drain.connections, afterMilliseconds)
+        log.log(event)
     }
 
     /** Returns the refusal of a request that could not be answered before this process ends. */
     private fun refusalOrNull(admitted: AdmittedHead, times: RequestTimes): Refusal? {
         val stopDeadline = plannedStop.drainDeadlineOrNull ?: return null
         val likelyEnd = clock().deadlineAfter(serviceMilliseconds(admitted.pool))
-        if (!isEnding && plannedStop.accepts(likelyEnd, times.deadline)) return null
+        if (!isEnding && plannedStop.accepts(likelyEnd, times.deadline)) {
+            logAccepted(admitted, likelyEnd, times.deadline, stopDeadline)
+            return null
+        }
         // Callers use another entry at once, if there is one.
         val retryAt = if (hasOtherEntries()) null else stopDeadline
         return Refusal(RefusalReason.LEAVING, retryAt = retryAt)
     }
 
+    private fun logAccepted(
+        admitted: AdmittedHead,
+        likelyEnd: Deadline,
+        latestEnd: Deadline,
+        stopDeadline: Deadline,
+    ) {
+        val now = clock()
+        log.log(
+            GatewayEvent.AcceptedWhileLeaving(
+                admitted.head.request.text,
+                "head",
+                likelyEnd.millisecondsLeft(now),
+                latestEnd.millisecondsLeft(now),
+                stopDeadline.millisecondsLeft(now),
+            ),
+        )
+    }
+
     private companion object {
         /**
          * Callers keep a list of addresses for up to three times its lifetime of one second. The
