Decide again before a request is passed on in a planned stop

Cause: whether a request can end in time was decided once, when its head arrived. A body that arrives late or a wait for a place moves the start, and nothing decided again. Class of fault: a decision made on an estimate that later events make void.

Change: the stop decides at the head, when the body is complete and when a target has a place, each time with the time at which the last part arrived. A request that can no longer end is refused as not run; a stream that has begun goes on.

Why it works: the last decision is made just before the request is sent, so nothing but the work itself lies between it and the end.

--- a/core/src/main/kotlin/org/vanilladale/core/membership/LeavingState.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/membership/LeavingState.kt
@@ -14,12 +14,13 @@
     public fun refusesNewWork(now: Timestamp): Boolean
 
     /**
-     * Returns whether a request is accepted at [now] although it may last.
+     * Returns whether a request is accepted although it may last.
      *
+     * @param receivedAt time at which the last part that has arrived was received
      * @param likelyEnd estimated time of its answer
      * @param latestEnd time at which it is given up
      */
-    public fun accepts(now: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean
+    public fun accepts(receivedAt: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean
 
     /** Returns whether the process may stop while [inFlight] requests are in flight. */
     public fun isDrained(inFlight: Int, now: Timestamp): Boolean
@@ -28,8 +29,11 @@
     public data object Serving : LeavingState {
         override fun refusesNewWork(now: Timestamp): Boolean = false
 
-        override fun accepts(now: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean =
-            true
+        override fun accepts(
+            receivedAt: Timestamp,
+            likelyEnd: Deadline,
+            latestEnd: Deadline,
+        ): Boolean = true
 
         override fun isDrained(inFlight: Int, now: Timestamp): Boolean = false
 
@@ -58,12 +62,16 @@
         override fun refusesNewWork(now: Timestamp): Boolean = now >= frame.leavingAt
 
         /**
-         * Until [Leaving.leavingAt], callers may not know another process, and a request is
-         * accepted if it is likely to end by the drain deadline. Afterwards it has to end by then
-         * for certain.
+         * Until [Leaving.leavingAt], callers may not know another process, and a request that
+         * arrives is accepted if it is likely to end by the drain deadline. One that arrives later
+         * has to end by then for certain.
          */
-        override fun accepts(now: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean {
-            val end = if (refusesNewWork(now)) latestEnd else minOf(likelyEnd, latestEnd)
+        override fun accepts(
+            receivedAt: Timestamp,
+            likelyEnd: Deadline,
+            latestEnd: Deadline,
+        ): Boolean {
+            val end = if (refusesNewWork(receivedAt)) latestEnd else minOf(likelyEnd, latestEnd)
             return end <= drainDeadline
         }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AcceptanceStep.kt
@@ -0,0 +1,16 @@
+package org.vanilladale.gateway
+
+/**
+ * Steps of a request at which a planned stop decides whether it can still end in time. [code] names
+ * the step in the log.
+ */
+internal enum class AcceptanceStep(val code: String) {
+    /** The head was received. */
+    HEAD("head"),
+
+    /** The body was received completely. */
+    BODY("body"),
+
+    /** A target has a place for the request. */
+    PLACE("place"),
+}
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -92,10 +92,16 @@
         fun accept(admitted: AdmittedHead) {
             revision = admitted.tables.revision.value
             val times = timesOf(admitted)
-            val refusal = shared.drain.refusalOrNull(admitted, times)
+            val refusal = refusalOrNull(admitted, times, AcceptanceStep.HEAD)
             if (refusal == null) readBody(admitted, times) else refuse(refusal)
         }
 
+        private fun refusalOrNull(
+            admitted: AdmittedHead,
+            times: RequestTimes,
+            step: AcceptanceStep,
+        ): Refusal? = shared.drain.refusalOrNull(admitted.head, admitted.pool, times, step)
+
         private fun readBody(admitted: AdmittedHead, times: RequestTimes) {
             val body = Buffer.buffer()
             var refused = false
@@ -117,10 +123,17 @@
             }
             request.endHandler {
                 vertx.cancelTimer(timer)
-                if (!refused && !ended) forward(admitted, times, body)
+                if (!refused && !ended) acceptBody(admitted, times, body)
             }
         }
 
+        /** Forwards the request, unless the time that its body took leaves too little. */
+        private fun acceptBody(admitted: AdmittedHead, headTimes: RequestTimes, body: Buffer) {
+            val times = headTimes.copy(receivedAt = shared.clock())
+            val refusal = refusalOrNull(admitted, times, AcceptanceStep.BODY)
+            if (refusal == null) forward(admitted, times, body) else refuse(refusal)
+        }
+
         private fun forward(admitted: AdmittedHead, times: RequestTimes, body: Buffer) {
             val accepted = ForwardedRequest(
                 admitted.head,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/DrainState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/DrainState.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.http.HttpConnection
 import java.util.concurrent.ConcurrentHashMap
+import org.vanilladale.core.gateway.GatewayPool
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.schema.Timestamp
 
@@ -15,7 +16,7 @@
 internal class DrainState(
     private val clock: () -> Timestamp,
     private val isLeaving: () -> Boolean,
-    private val refusalOf: (AdmittedHead, RequestTimes) -> Refusal?,
+    private val refusalOf: (CallerHead, GatewayPool, RequestTimes, AcceptanceStep) -> Refusal?,
 ) {
     private val requests = ConcurrentHashMap.newKeySet<InFlight>()
     private val openConnections = ConcurrentHashMap.newKeySet<HttpConnection>()
@@ -39,8 +40,12 @@
     val closesConnections: Boolean get() = isLeaving()
 
     /** Returns the refusal of a request that could not be answered before the process ends. */
-    fun refusalOrNull(admitted: AdmittedHead, times: RequestTimes): Refusal? =
-        refusalOf(admitted, times)
+    fun refusalOrNull(
+        head: CallerHead,
+        pool: GatewayPool,
+        times: RequestTimes,
+        step: AcceptanceStep,
+    ): Refusal? = refusalOf(head, pool, times, step)
 
     /** Tracks [connection] until it is closed. */
     fun connectionOpened(connection: HttpConnection) {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
@@ -17,14 +17,17 @@
 /**
  * Times of a request.
  *
+ * @property arrivedAt time at which its head was received
  * @property deadline time at which the caller or the route gives up, whichever is earlier
  * @property firstAttemptAt estimated time of the caller's first attempt, which is earlier than
  *   [arrivedAt] if the caller returned after a refusal or a failure
+ * @property receivedAt time at which the last part that has arrived was received
  */
 internal data class RequestTimes(
     val arrivedAt: Timestamp,
     val deadline: Deadline,
     val firstAttemptAt: Timestamp = arrivedAt,
+    val receivedAt: Timestamp = arrivedAt,
 )
 
 /**
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -1,6 +1,7 @@
 package org.vanilladale.gateway
 
 import arrow.core.getOrElse
+import arrow.core.left
 import org.vanilladale.core.gateway.TargetOutcomes
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
@@ -11,7 +12,12 @@
 import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.Timestamp
 
-/** Sends a request to targets, one after another, until the caller has an answer or a refusal. */
+/**
+ * Sends a request to targets, one after another, until the caller has an answer or a refusal.
+ *
+ * @param refusalOfStop returns the refusal of a request that has a place and could not be answered
+ *   before the process ends, or null
+ */
 internal class Forwarder(
     private val dispatcher: PoolDispatcher,
     private val attempts: AttemptRunner,
@@ -20,6 +26,7 @@
     private val log: GatewayLog,
     private val metrics: GatewayMetrics,
     private val clock: () -> Timestamp,
+    private val refusalOfStop: (ForwardedRequest) -> Refusal?,
 ) {
     private class ForwardingState(val request: ForwardedRequest) {
         val tried = HashSet<TargetId>()
@@ -52,8 +59,9 @@
                 .getOrElse { return finish(state, it, answer) }
             val waitedMilliseconds = clock().millisecondsSince(waitedFrom)
             metrics.recordWait(waitedMilliseconds)
-            // A target may have crashed during the wait.
-            val trial = suspects.begin(traits).getOrElse {
+            // A stop may have begun, or a target have crashed, during the wait.
+            val admitted = stopRefusalOrNull(request, answer)?.left() ?: suspects.begin(traits)
+            val trial = admitted.getOrElse {
                 dispatcher.release(request.pool.name, slot.target.id, clock())
                 return finish(state, it, answer)
             }
@@ -68,6 +76,10 @@
         }
     }
 
+    /** A stream that has begun is continued, because its caller can't get the rest elsewhere. */
+    private fun stopRefusalOrNull(request: ForwardedRequest, answer: CallerAnswer): Refusal? =
+        if (answer.isStarted) null else refusalOfStop(request)
+
     /** Runs one attempt. Returns null when the answer was delivered. */
     private suspend fun attempt(
         state: ForwardingState,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -269,7 +269,9 @@
             metrics.recordGap(gap)
             dispatcher.observe(request.pool.name) { now -> recordGap(target.id, gap, now) }
         }
-        return Forwarder(dispatcher, attempts, budget, suspects, log, metrics, clock)
+        return Forwarder(dispatcher, attempts, budget, suspects, log, metrics, clock) {
+            plannedStop.drain.refusalOrNull(it.head, it.pool, it.times, AcceptanceStep.PLACE)
+        }
     }
 
     /** Returns the caller-facing entries among this one and the live peers that serve. */
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -7,7 +7,6 @@
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.runtime.PlannedStop
-import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.GatewaySettings
 import org.vanilladale.schema.Timestamp
 
@@ -77,33 +76,36 @@
     }
 
     /** Returns the refusal of a request that could not be answered before this process ends. */
-    private fun refusalOrNull(admitted: AdmittedHead, times: RequestTimes): Refusal? {
+    private fun refusalOrNull(
+        head: CallerHead,
+        pool: GatewayPool,
+        times: RequestTimes,
+        step: AcceptanceStep,
+    ): Refusal? {
         val stopDeadline = plannedStop.drainDeadlineOrNull ?: return null
-        val likelyEnd = clock().deadlineAfter(serviceMilliseconds(admitted.pool))
-        if (!isEnding && plannedStop.accepts(likelyEnd, times.deadline)) {
-            logAccepted(admitted, likelyEnd, times.deadline, stopDeadline)
+        val now = clock()
+        val likelyMilliseconds = serviceMilliseconds(pool)
+        val likelyEnd = now.deadlineAfter(likelyMilliseconds)
+        val latestMilliseconds = times.deadline.millisecondsLeft(now)
+        val leftMilliseconds = stopDeadline.millisecondsLeft(now)
+        if (!isEnding && plannedStop.accepts(times.receivedAt, likelyEnd, times.deadline)) {
+            log.log(
+                GatewayEvent.AcceptedWhileLeaving(
+                    head.request.text,
+                    step.code,
+                    likelyMilliseconds,
+                    latestMilliseconds,
+                    leftMilliseconds,
+                ),
+            )
             return null
         }
-        // Callers use another entry at once, if there is one.
-        val retryAt = if (hasOtherEntries()) null else stopDeadline
-        return Refusal(RefusalReason.LEAVING, retryAt = retryAt)
-    }
-
-    private fun logAccepted(
-        admitted: AdmittedHead,
-        likelyEnd: Deadline,
-        latestEnd: Deadline,
-        stopDeadline: Deadline,
-    ) {
-        val now = clock()
-        log.log(
-            GatewayEvent.AcceptedWhileLeaving(
-                admitted.head.request.text,
-                "head",
-                likelyEnd.millisecondsLeft(now),
-                latestEnd.millisecondsLeft(now),
-                stopDeadline.millisecondsLeft(now),
-            ),
+        return Refusal(
+            RefusalReason.LEAVING,
+            detail = "${step.code}: takes $likelyMilliseconds ms, at most " +
+                "$latestMilliseconds ms; the process ends its requests in $leftMilliseconds ms",
+            // Callers use another entry at once, if there is one.
+            retryAt = if (hasOtherEntries()) null else stopDeadline,
         )
     }
 
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
@@ -36,12 +36,9 @@
     /** Returns true when new work is to be refused. */
     public fun refusesNewWork(): Boolean = state.get().refusesNewWork(clock())
 
-    /**
-     * Returns whether a request that most likely ends at [likelyEnd], and at [latestEnd] at the
-     * latest, is accepted.
-     */
-    public fun accepts(likelyEnd: Deadline, latestEnd: Deadline): Boolean =
-        state.get().accepts(clock(), likelyEnd, latestEnd)
+    /** Returns whether a request is accepted; see [LeavingState.accepts]. */
+    public fun accepts(receivedAt: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean =
+        state.get().accepts(receivedAt, likelyEnd, latestEnd)
 
     /** Time at which the process ends whatever is in flight; null while the process serves. */
     public val drainDeadlineOrNull: Deadline?
