Expect of a request in a planned stop what few answers exceed

Cause: the expected duration was the average time in a slot of the pool. Refused and failed attempts end within milliseconds and pull it down; half of all answers take longer than an average anyway; and a process without any answer assumed 30 ms. Class of fault: the mean of a mixed quantity used as a bound.

Without an answer nothing is known, and a request has to end by its own deadline. Queueing keeps its average.

--- a/core/src/main/kotlin/org/vanilladale/core/membership/LeavingState.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/membership/LeavingState.kt
@@ -17,10 +17,10 @@
      * Returns whether a request is accepted although it may last.
      *
      * @param receivedAt time at which the last part that has arrived was received
-     * @param likelyEnd estimated time of its answer
+     * @param likelyEnd estimated time of its answer; null if unknown
      * @param latestEnd time at which it is given up
      */
-    public fun accepts(receivedAt: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean
+    public fun accepts(receivedAt: Timestamp, likelyEnd: Deadline?, latestEnd: Deadline): Boolean
 
     /** Returns whether the process may stop while [inFlight] requests are in flight. */
     public fun isDrained(inFlight: Int, now: Timestamp): Boolean
@@ -31,7 +31,7 @@
 
         override fun accepts(
             receivedAt: Timestamp,
-            likelyEnd: Deadline,
+            likelyEnd: Deadline?,
             latestEnd: Deadline,
         ): Boolean = true
 
@@ -68,10 +68,11 @@
          */
         override fun accepts(
             receivedAt: Timestamp,
-            likelyEnd: Deadline,
+            likelyEnd: Deadline?,
             latestEnd: Deadline,
         ): Boolean {
-            val end = if (refusesNewWork(receivedAt)) latestEnd else minOf(likelyEnd, latestEnd)
+            val isCertain = likelyEnd == null || refusesNewWork(receivedAt)
+            val end = if (isCertain) latestEnd else minOf(likelyEnd!!, latestEnd)
             return end <= drainDeadline
         }
 
--- a/core/src/test/kotlin/org/vanilladale/core/membership/LeavingStateTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/membership/LeavingStateTest.kt
@@ -26,10 +26,12 @@
             AcceptanceCase(now = 3_000, likelyEnd = 4_000, latestEnd = 8_000, accepted = true),
             AcceptanceCase(now = 7_500, likelyEnd = 7_600, latestEnd = 8_500, accepted = false),
             AcceptanceCase(now = 8_000, likelyEnd = 8_001, latestEnd = 9_000, accepted = false),
+            AcceptanceCase(now = 1_000, likelyEnd = null, latestEnd = 8_001, accepted = false),
+            AcceptanceCase(now = 1_000, likelyEnd = null, latestEnd = 8_000, accepted = true),
         ).forEach { case ->
             val found = leaving.accepts(
                 time(case.now),
-                deadline(case.likelyEnd),
+                case.likelyEnd?.let(::deadline),
                 deadline(case.latestEnd),
             )
             expectThat(found).describedAs("$case").isEqualTo(case.accepted)
@@ -44,7 +46,7 @@
 
     private data class AcceptanceCase(
         val now: Long,
-        val likelyEnd: Long,
+        val likelyEnd: Long?,
         val latestEnd: Long,
         val accepted: Boolean,
     )
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -35,6 +35,7 @@
         } else {
             null
         }
+        var firstSentAt: Timestamp? = null
         var sends = 0
         var possibleRuns = 0
         var answer: BufferedAnswer? = null
@@ -89,6 +90,8 @@
         val request = state.request
         val target = slot.target
         val startedAt = clock()
+        val firstSentAt = state.firstSentAt ?: startedAt
+        state.firstSentAt = firstSentAt
         request.mayHaveRun = true
         val result = try {
             attempts.run(request, target, state.mayRepeat, state.progress, answer)
@@ -100,6 +103,7 @@
         return when (result) {
             is AttemptResult.Delivered -> {
                 dispatcher.observe(request.pool.name) { recordSuccess(target.id) }
+                dispatcher.recordAnswer(request.pool.name, firstSentAt)
                 suspects.recordAnswer(request)
                 logAnswered(state, target.id, result.status)
                 null
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -148,7 +148,7 @@
         settings,
         log,
         clock,
-        { dispatcher.serviceMilliseconds(it) },
+        { dispatcher.mostServiceMillisecondsOrNull(it) },
         { fleet.use { view -> view.live.any { it.isServing } } },
     ) { heartbeats.send() }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -17,7 +17,8 @@
  * still in flight shortly before the forced end are answered, so that their callers learn whether
  * they may have run.
  *
- * @param serviceMilliseconds returns the average time in a slot of a pool
+ * @param mostServiceMillisecondsOrNull returns the time that few answers of a pool exceed, or null
+ *   before the first answer
  * @param hasOtherEntries whether another entry serves callers
  * @param announce tells the peers that this entry is leaving
  */
@@ -25,7 +26,7 @@
     settings: GatewaySettings,
     private val log: GatewayLog,
     private val clock: () -> Timestamp,
-    private val serviceMilliseconds: (GatewayPool) -> Long,
+    private val mostServiceMillisecondsOrNull: (GatewayPool) -> Long?,
     private val hasOtherEntries: () -> Boolean,
     announce: () -> Unit,
 ) {
@@ -84,8 +85,8 @@
     ): Refusal? {
         val stopDeadline = plannedStop.drainDeadlineOrNull ?: return null
         val now = clock()
-        val likelyMilliseconds = serviceMilliseconds(pool)
-        val likelyEnd = now.deadlineAfter(likelyMilliseconds)
+        val likelyMilliseconds = mostServiceMillisecondsOrNull(pool)
+        val likelyEnd = likelyMilliseconds?.let(now::deadlineAfter)
         val latestMilliseconds = times.deadline.millisecondsLeft(now)
         val leftMilliseconds = stopDeadline.millisecondsLeft(now)
         if (!isEnding && plannedStop.accepts(times.receivedAt, likelyEnd, times.deadline)) {
@@ -102,7 +103,7 @@
         }
         return Refusal(
             RefusalReason.LEAVING,
-            detail = "${step.code}: takes $likelyMilliseconds ms, at most " +
+            detail = "${step.code}: takes ${likelyMilliseconds ?: "unknown"} ms, at most " +
                 "$latestMilliseconds ms; the process ends its requests in $leftMilliseconds ms",
             // Callers use another entry at once, if there is one.
             retryAt = if (hasOtherEntries()) null else stopDeadline,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -125,9 +125,13 @@
         }
     }.flatten()
 
-    /** Returns the average time for which a request occupies a slot of [pool]. */
-    fun serviceMilliseconds(pool: GatewayPool): Long =
-        withPool(pool.name) { expectedServiceMilliseconds(pool) }.toLong()
+    /** Records that a request, first sent at [firstSentAt], was answered completely. */
+    fun recordAnswer(pool: PoolName, firstSentAt: Timestamp) =
+        withPool(pool) { serviceTimes.record(clock().millisecondsSince(firstSentAt)) }
+
+    /** Returns the time that few answers of [pool] exceed, or null before the first answer. */
+    fun mostServiceMillisecondsOrNull(pool: GatewayPool): Long? =
+        withPool(pool.name) { serviceTimes.mostMillisecondsOrNull }
 
     /** Returns the number of requests of each pool that wait and can meet their goal, if any. */
     fun waiting(): List<PoolWaiting> = pools.mapShards { shard ->
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -15,6 +15,7 @@
 import org.vanilladale.core.gateway.PlacementCandidate
 import org.vanilladale.core.gateway.PoolBacklog
 import org.vanilladale.core.gateway.QueueingRule
+import org.vanilladale.core.gateway.ServiceTimes
 import org.vanilladale.core.gateway.TargetOutcomes
 import org.vanilladale.core.gateway.TargetPlacement
 import org.vanilladale.core.gateway.Urgency
@@ -86,6 +87,9 @@
 
     val outcomes = TargetOutcomes()
 
+    /** Durations of complete answers, unlike the time in a slot, which failed attempts shorten. */
+    val serviceTimes = ServiceTimes()
+
     /** Number of requests that wait for a slot. */
     val waiting: Int
         get() = continued.size + fresh.size + late.size + if (head == null) 0 else 1
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/PlannedStop.kt
@@ -37,7 +37,7 @@
     public fun refusesNewWork(): Boolean = state.get().refusesNewWork(clock())
 
     /** Returns whether a request is accepted; see [LeavingState.accepts]. */
-    public fun accepts(receivedAt: Timestamp, likelyEnd: Deadline, latestEnd: Deadline): Boolean =
+    public fun accepts(receivedAt: Timestamp, likelyEnd: Deadline?, latestEnd: Deadline): Boolean =
         state.get().accepts(receivedAt, likelyEnd, latestEnd)
 
     /** Time at which the process ends whatever is in flight; null while the process serves. */
