Close the connections of callers before a planned stop returns

Cause: between the last answer and the halt nothing stopped listening or closed kept connections, so that a request could be read and not answered.

Change: after the last answer, or after what is in flight was interrupted, HttpServer.shutdown of every caller server stops listening, closes idle connections and closes the others after their answer. The stop returns when no connection is open, 0.3 s after the drain deadline at the latest. Requests that are still read are refused as leaving.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -32,6 +32,7 @@
     val admission: RequestAdmission,
     val forwarder: () -> Forwarder,
     val drain: DrainState,
+    val servers: CallerServers,
     val refusals: RefusalWriter,
     val log: GatewayLog,
     val metrics: GatewayMetrics,
@@ -53,11 +54,12 @@
             .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
             .setIdleTimeout(shared.limits.idleTimeoutMilliseconds.toInt())
             .setAcceptBacklog(ACCEPT_BACKLOG)
-        vertx.createHttpServer(options)
+        val server = vertx.createHttpServer(options)
             .connectionHandler(shared.drain::connectionOpened)
             .requestHandler(::receive)
             .listen(shared.address.port, shared.address.host)
             .coAwait()
+        shared.servers.opened(server)
     }
 
     private fun receive(request: HttpServerRequest) {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -144,12 +144,15 @@
         ::peerUpdated,
     )
 
+    private val callerServers = CallerServers(clock)
+
     private val plannedStop: GatewayStop = GatewayStop(
         settings,
         log,
         clock,
         { dispatcher.mostServiceMillisecondsOrNull(it) },
         { fleet.use { view -> view.live.any { it.isServing } } },
+        callerServers::close,
     ) { heartbeats.send() }
 
     @Volatile
@@ -199,7 +202,10 @@
         log.log(GatewayEvent.Reloaded(seeds.size, fault))
     }
 
-    /** Stops accepting requests, waits for requests in flight, answers the rest and returns. */
+    /**
+     * Stops accepting requests, waits for requests in flight, answers the rest, closes the
+     * connections of callers and returns.
+     */
     public suspend fun stop() {
         plannedStop.run()
         eventLog.flush()
@@ -228,6 +234,7 @@
             admission,
             ::createForwarder,
             plannedStop.drain,
+            callerServers,
             refusals,
             log,
             metrics,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -7,6 +7,7 @@
 import org.vanilladale.core.refusal.Refusal
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.runtime.PlannedStop
+import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.GatewaySettings
 import org.vanilladale.schema.Timestamp
 
@@ -15,11 +16,14 @@
  *
  * Requests are accepted as long as they can end in time; see [LeavingState.accepts]. Those that are
  * still in flight shortly before the forced end are answered, so that their callers learn whether
- * they may have run.
+ * they may have run. Then connections are closed, so that no request is read that the end of the
+ * process would cut off.
  *
  * @param mostServiceMillisecondsOrNull returns the time that few answers of a pool exceed, or null
  *   before the first answer
  * @param hasOtherEntries whether another entry serves callers
+ * @param closeServers refuses new connections of callers, closes each open one as soon as it has no
+ *   request in flight, and returns when all are closed, at the deadline at the latest
  * @param announce tells the peers that this entry is leaving
  */
 internal class GatewayStop(
@@ -28,6 +32,7 @@
     private val clock: () -> Timestamp,
     private val mostServiceMillisecondsOrNull: (GatewayPool) -> Long?,
     private val hasOtherEntries: () -> Boolean,
+    private val closeServers: suspend (Deadline) -> Unit,
     announce: () -> Unit,
 ) {
     /** Requests of callers in flight. */
@@ -55,16 +60,21 @@
     /** True once the stop has been announced. */
     val isLeaving: Boolean get() = plannedStop.leavingOrNull != null
 
-    /** Announces the stop and returns when no request is in flight or the grace period ends. */
+    /**
+     * Announces the stop and returns when no connection of a caller is open or the grace period
+     * ends.
+     */
     suspend fun run() {
         val beganAt = clock()
+        val closeDeadline = beganAt.deadlineAfter(stopMilliseconds + CLOSE_MILLISECONDS)
         logStage("began", beganAt)
         plannedStop.run()
         isEnding = true
         logStage("ended", beganAt)
         drain.interruptAll()
-        withTimeoutOrNull(INTERRUPT_MILLISECONDS) {
-            while (drain.inFlight > 0) delay(INTERRUPT_POLL_MILLISECONDS)
+        withTimeoutOrNull(closeDeadline.millisecondsLeft(clock())) {
+            closeServers(closeDeadline)
+            while (drain.connections > 0) delay(POLL_MILLISECONDS)
         }
         logStage("closed", beganAt)
     }
@@ -124,8 +134,8 @@
         const val EXIT_MILLISECONDS = 500L
 
         /** Leaves the rest of [EXIT_MILLISECONDS] to the log and the exit. */
-        const val INTERRUPT_MILLISECONDS = 200L
-        const val INTERRUPT_POLL_MILLISECONDS = 5L
+        const val CLOSE_MILLISECONDS = 300L
+        const val POLL_MILLISECONDS = 5L
         const val MILLISECONDS_PER_SECOND = 1_000
     }
 }
