Wait at the end of a process for the line that the log is writing

Callers see nothing of this; the last lines before the halt, such as the end of a planned stop, could be missing from the log or be in the wrong order.

Cause: flush wrote what waited beside the thread of the log, and returned while that thread still held a line that it had taken but not written. It also blocked without limit when the reader of the log had stopped.

Change: only the thread of the log writes. flush queues a last step and waits for it, until a deadline that the caller gives; a planned stop gives 50 ms before the forced end.

Before the change `flush returns when all lines are written in order` failed with "line 0", "line 2", "line 1", "line 4", "line 3".

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -207,8 +207,8 @@
      * connections of callers and returns.
      */
     public suspend fun stop() {
-        plannedStop.run()
-        eventLog.flush()
+        val logDeadline = plannedStop.run()
+        eventLog.flush(logDeadline, clock)
     }
 
     /** Returns the addresses of the entries that a caller in data centre [near] should use. */
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -62,9 +62,9 @@
 
     /**
      * Announces the stop and returns when no connection of a caller is open or the grace period
-     * ends.
+     * ends. The result is the deadline of writing the log.
      */
-    suspend fun run() {
+    suspend fun run(): Deadline {
         val beganAt = clock()
         val closeDeadline = beganAt.deadlineAfter(stopMilliseconds + CLOSE_MILLISECONDS)
         logStage("began", beganAt)
@@ -77,6 +77,7 @@
             while (drain.connections > 0) delay(POLL_MILLISECONDS)
         }
         logStage("closed", beganAt)
+        return beganAt.deadlineAfter(stopMilliseconds + LOG_MILLISECONDS)
     }
 
     private fun logStage(stage: String, beganAt: Timestamp) {
@@ -133,8 +134,11 @@
          */
         const val EXIT_MILLISECONDS = 500L
 
-        /** Leaves the rest of [EXIT_MILLISECONDS] to the log and the exit. */
+        /** Leaves the rest of [LOG_MILLISECONDS] to the log. */
         const val CLOSE_MILLISECONDS = 300L
+
+        /** Leaves the rest of [EXIT_MILLISECONDS] to the exit. */
+        const val LOG_MILLISECONDS = 450L
         const val POLL_MILLISECONDS = 5L
         const val MILLISECONDS_PER_SECOND = 1_000
     }
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/EventLog.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/EventLog.kt
@@ -1,8 +1,12 @@
 package org.vanilladale.runtime
 
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit.MILLISECONDS
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
+import org.vanilladale.schema.Deadline
+import org.vanilladale.schema.Timestamp
 
 /**
  * Log of structured lines that never blocks its callers.
@@ -17,7 +21,8 @@
     private val onDrop: () -> Unit,
     capacity: Int = DEFAULT_CAPACITY,
 ) {
-    private val lines = ArrayBlockingQueue<String>(capacity)
+    /** What the thread does in turn: writes lines, and tells [flush] how far it has come. */
+    private val steps = ArrayBlockingQueue<() -> Unit>(capacity)
     private val droppedLines = AtomicLong()
 
     /** Number of lines that were dropped so far. */
@@ -25,20 +30,26 @@
 
     init {
         thread(isDaemon = true, name = "event-log") {
-            while (true) write(lines.take())
+            while (true) steps.take()()
         }
     }
 
     /** Queues [line], or drops it when the reader of the log is too slow. */
     public fun log(line: String) {
-        if (lines.offer(line)) return
+        if (steps.offer { write(line) }) return
         droppedLines.incrementAndGet()
         onDrop()
     }
 
-    /** Writes what waits; for the end of the process. */
-    public fun flush() {
-        while (true) write(lines.poll() ?: return)
+    /**
+     * Waits until all lines queued so far are written; for the end of the process. Returns false if
+     * [deadline] passes before, as it does when the reader of the log has stopped.
+     */
+    public fun flush(deadline: Deadline, clock: () -> Timestamp): Boolean {
+        val isWritten = CountDownLatch(1)
+        val isQueued =
+            steps.offer(isWritten::countDown, deadline.millisecondsLeft(clock()), MILLISECONDS)
+        return isQueued && isWritten.await(deadline.millisecondsLeft(clock()), MILLISECONDS)
     }
 
     public companion object {
--- a/runtime/src/test/kotlin/org/vanilladale/runtime/EventLogTest.kt
+++ b/runtime/src/test/kotlin/org/vanilladale/runtime/EventLogTest.kt
@@ -34,4 +34,37 @@
         while (written.size < 1_000 - log.dropped) Thread.onSpinWait()
         expectThat(written.size.toLong()).isEqualTo(1_000 - log.dropped)
     }
+
+    @Test
+    fun `flush returns when all lines are written in order`() {
+        repeat(200) {
+            val written = CopyOnWriteArrayList<String>()
+            val log = EventLog(
+                {
+                    Thread.sleep(1)
+                    written += it
+                },
+                {},
+            )
+            val lines = List(5) { "line $it" }
+            lines.forEach(log::log)
+            val isFlushed = log.flush(steadyNow().deadlineAfter(10_000), ::steadyNow)
+            expectThat(isFlushed).isEqualTo(true)
+            expectThat(written.toList()).isEqualTo(lines)
+        }
+    }
+
+    @Test
+    fun `flush ends at its deadline when the reader has stopped reading`() {
+        for (lines in listOf(1, 100)) {
+            val never = CountDownLatch(1)
+            val log = EventLog({ never.await() }, {}, capacity = 10)
+            repeat(lines) { log.log("line $it") }
+            val deadline = steadyNow().deadlineAfter(200)
+            expectThat(log.flush(deadline, ::steadyNow)).isEqualTo(false)
+            val lateMilliseconds = steadyNow().epochMilliseconds - deadline.epochMilliseconds
+            expectThat(lateMilliseconds).isLessThan(1_000)
+            never.countDown()
+        }
+    }
 }
