Close connections without a request at once when a stop ends

Callers saw: nothing yet; an entry that had drained could stay up to 7.8 s, listening no more, because one connection had sent no whole head.

Cause: with clear-text HTTP/2 enabled, the default, Vert.x decides at the first whole head what a connection speaks. Until then a shutdown waits for it, and it is not counted as open.

Change: HTTP/1.1 only, as callers speak.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -54,6 +54,8 @@
             .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
             .setIdleTimeout(shared.limits.idleTimeoutMilliseconds.toInt())
             .setAcceptBacklog(ACCEPT_BACKLOG)
+            // A connection that may still change to HTTP/2 is not closed by a shutdown.
+            .setHttp2ClearTextEnabled(false)
         val server = vertx.createHttpServer(options)
             .connectionHandler(shared.drain::connectionOpened)
             .requestHandler(::receive)
