Wait for requests accepted as a planned stop ends early

Callers saw: by reading only; a request that is accepted between the last look at what is in flight and the mark that the stop is ending was interrupted at once, with 502, 503 or a closed stream, though seconds were left.

Change: the stop waits once more after the mark, from which on nothing is accepted. No test of its own: the window is a few instructions.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -70,6 +70,8 @@
         logStage("began", beganAt)
         plannedStop.run()
         isEnding = true
+        // Waits for a request that was accepted after the last look at those in flight.
+        plannedStop.run()
         logStage("ended", beganAt)
         drain.interruptAll()
         withTimeoutOrNull(closeDeadline.millisecondsLeft(clock())) {
