Learn durations in a planned stop from whole successful answers only

Callers saw: nothing yet; found in the review. Signed 404 answers, and the rest of a stream that its caller resumes, counted as whole answers and shortened the expected duration, as refused attempts had done.

Change: only answers with a status of success to requests from their beginning are recorded. Names and comments follow the review.

--- a/core/src/main/kotlin/org/vanilladale/core/gateway/ServiceTimes.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/ServiceTimes.kt
@@ -25,8 +25,11 @@
         mean += MEAN_WEIGHT * (milliseconds - mean)
     }
 
-    /** Duration in milliseconds that few answers exceed; null before the first answer. */
-    public val mostMillisecondsOrNull: Long?
+    /**
+     * Duration in milliseconds that few of the next answers exceed if they are like the latest ten;
+     * null before the first answer. Rare long answers are not foreseen.
+     */
+    public val longestUsualMillisecondsOrNull: Long?
         get() = if (isEmpty) null else (mean + DEVIATIONS * deviation).toLong()
 
     private companion object {
--- a/core/src/main/kotlin/org/vanilladale/core/membership/LeavingState.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/membership/LeavingState.kt
@@ -16,7 +16,7 @@
     /**
      * Returns whether a request is accepted although it may last.
      *
-     * @param receivedAt time at which the last part that has arrived was received
+     * @param receivedAt time at which its head or, once it is complete, its body was received
      * @param likelyEnd estimated time of its answer; null if unknown
      * @param latestEnd time at which it is given up
      */
@@ -71,8 +71,11 @@
             likelyEnd: Deadline?,
             latestEnd: Deadline,
         ): Boolean {
-            val isCertain = likelyEnd == null || refusesNewWork(receivedAt)
-            val end = if (isCertain) latestEnd else minOf(likelyEnd!!, latestEnd)
+            val end = if (likelyEnd == null || refusesNewWork(receivedAt)) {
+                latestEnd
+            } else {
+                minOf(likelyEnd, latestEnd)
+            }
             return end <= drainDeadline
         }
 
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/ServiceTimesTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/ServiceTimesTest.kt
@@ -11,7 +11,7 @@
 class ServiceTimesTest {
     @Test
     fun `nothing is known before the first answer`() {
-        expectThat(ServiceTimes().mostMillisecondsOrNull).isNull()
+        expectThat(ServiceTimes().longestUsualMillisecondsOrNull).isNull()
     }
 
     @Test
@@ -26,7 +26,7 @@
             val times = ServiceTimes()
             times.record(duration(random))
             val longer = (1..ANSWERS).count {
-                val predicted = times.mostMillisecondsOrNull!!
+                val predicted = times.longestUsualMillisecondsOrNull!!
                 val taken = duration(random)
                 times.record(taken)
                 taken > predicted
@@ -39,9 +39,9 @@
     fun `answers that become slower raise the prediction within a few answers`() {
         val times = ServiceTimes()
         repeat(100) { times.record(900) }
-        expectThat(times.mostMillisecondsOrNull).isNotNull().isLessThan(1_000)
+        expectThat(times.longestUsualMillisecondsOrNull).isNotNull().isLessThan(1_000)
         repeat(3) { times.record(4_000) }
-        expectThat(times.mostMillisecondsOrNull).isNotNull().isGreaterThan(4_000)
+        expectThat(times.longestUsualMillisecondsOrNull).isNotNull().isGreaterThan(4_000)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AcceptanceStep.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AcceptanceStep.kt
@@ -11,6 +11,6 @@
     /** The body was received completely. */
     BODY("body"),
 
-    /** A target has a place for the request. */
-    PLACE("place"),
+    /** A target has a slot for the request. */
+    SLOT("slot"),
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -127,12 +127,12 @@
             }
             request.endHandler {
                 vertx.cancelTimer(timer)
-                if (!refused && !ended) acceptBody(admitted, times, body)
+                if (!refused && !ended) forwardIfInTime(admitted, times, body)
             }
         }
 
         /** Forwards the request, unless the time that its body took leaves too little. */
-        private fun acceptBody(admitted: AdmittedHead, headTimes: RequestTimes, body: Buffer) {
+        private fun forwardIfInTime(admitted: AdmittedHead, headTimes: RequestTimes, body: Buffer) {
             val times = headTimes.copy(receivedAt = shared.clock())
             val refusal = refusalOrNull(admitted, times, AcceptanceStep.BODY)
             if (refusal == null) forward(admitted, times, body) else refuse(refusal)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
@@ -21,7 +21,7 @@
  * @property deadline time at which the caller or the route gives up, whichever is earlier
  * @property firstAttemptAt estimated time of the caller's first attempt, which is earlier than
  *   [arrivedAt] if the caller returned after a refusal or a failure
- * @property receivedAt time at which the last part that has arrived was received
+ * @property receivedAt time at which the head or, once it is complete, the body was received
  */
 internal data class RequestTimes(
     val arrivedAt: Timestamp,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -103,7 +103,9 @@
         return when (result) {
             is AttemptResult.Delivered -> {
                 dispatcher.observe(request.pool.name) { recordSuccess(target.id) }
-                dispatcher.recordAnswer(request.pool.name, firstSentAt)
+                if (result.isWholeWork(request)) {
+                    dispatcher.recordAnswer(request.pool.name, firstSentAt)
+                }
                 suspects.recordAnswer(request)
                 logAnswered(state, target.id, result.status)
                 null
@@ -133,6 +135,10 @@
         }
     }
 
+    /** False for a rejection, which takes no time, and for the rest of an interrupted stream. */
+    private fun AttemptResult.Delivered.isWholeWork(request: ForwardedRequest): Boolean =
+        status in SUCCESS_STATUSES && request.head.resumeAfter == null
+
     private fun TargetOutcomes.recordFailure(end: AttemptEnd, target: TargetId, now: Timestamp) {
         when (end) {
             AttemptEnd.NOT_SENT, AttemptEnd.WRONG_TARGET -> recordUnreachable(target, now)
@@ -228,4 +234,8 @@
             ),
         )
     }
+
+    private companion object {
+        val SUCCESS_STATUSES = 200..299
+    }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -150,7 +150,7 @@
         settings,
         log,
         clock,
-        { dispatcher.mostServiceMillisecondsOrNull(it) },
+        { dispatcher.longestUsualMillisecondsOrNull(it) },
         { fleet.use { view -> view.live.any { it.isServing } } },
         callerServers::close,
     ) { heartbeats.send() }
@@ -277,7 +277,7 @@
             dispatcher.observe(request.pool.name) { now -> recordGap(target.id, gap, now) }
         }
         return Forwarder(dispatcher, attempts, budget, suspects, log, metrics, clock) {
-            plannedStop.drain.refusalOrNull(it.head, it.pool, it.times, AcceptanceStep.PLACE)
+            plannedStop.drain.refusalOrNull(it.head, it.pool, it.times, AcceptanceStep.SLOT)
         }
     }
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -25,8 +25,9 @@
     ) : GatewayEvent
 
     /**
-     * A request was accepted during a planned stop at [step], because [likelyMilliseconds] or, if
-     * that is unknown or the notice is over, [latestMilliseconds] are at most [leftMilliseconds].
+     * A request was accepted during a planned stop at [step]. It takes [latestMilliseconds] at most
+     * and usually no longer than [likelyMilliseconds], null if unknown; after [leftMilliseconds]
+     * the stop ends it.
      */
     @Serializable
     @SerialName("accepted-while-leaving")
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -19,7 +19,7 @@
  * they may have run. Then connections are closed, so that no request is read that the end of the
  * process would cut off.
  *
- * @param mostServiceMillisecondsOrNull returns the time that few answers of a pool exceed, or null
+ * @param longestUsualMillisecondsOrNull returns the time that few answers of a pool exceed, or null
  *   before the first answer
  * @param hasOtherEntries whether another entry serves callers
  * @param closeServers refuses new connections of callers, closes each open one as soon as it has no
@@ -30,7 +30,7 @@
     settings: GatewaySettings,
     private val log: GatewayLog,
     private val clock: () -> Timestamp,
-    private val mostServiceMillisecondsOrNull: (GatewayPool) -> Long?,
+    private val longestUsualMillisecondsOrNull: (GatewayPool) -> Long?,
     private val hasOtherEntries: () -> Boolean,
     private val closeServers: suspend (Deadline) -> Unit,
     announce: () -> Unit,
@@ -98,7 +98,7 @@
     ): Refusal? {
         val stopDeadline = plannedStop.drainDeadlineOrNull ?: return null
         val now = clock()
-        val likelyMilliseconds = mostServiceMillisecondsOrNull(pool)
+        val likelyMilliseconds = longestUsualMillisecondsOrNull(pool)
         val likelyEnd = likelyMilliseconds?.let(now::deadlineAfter)
         val latestMilliseconds = times.deadline.millisecondsLeft(now)
         val leftMilliseconds = stopDeadline.millisecondsLeft(now)
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -130,8 +130,8 @@
         withPool(pool) { serviceTimes.record(clock().millisecondsSince(firstSentAt)) }
 
     /** Returns the time that few answers of [pool] exceed, or null before the first answer. */
-    fun mostServiceMillisecondsOrNull(pool: GatewayPool): Long? =
-        withPool(pool.name) { serviceTimes.mostMillisecondsOrNull }
+    fun longestUsualMillisecondsOrNull(pool: GatewayPool): Long? =
+        withPool(pool.name) { serviceTimes.longestUsualMillisecondsOrNull }
 
     /** Returns the number of requests of each pool that wait and can meet their goal, if any. */
     fun waiting(): List<PoolWaiting> = pools.mapShards { shard ->
