Let a late planned stop still close the connections of its callers

Callers saw: by reading only (review); a stop more than 0.3 s late skipped the close and did not wait until interrupted answers were written, a server that opened during a stop was never closed, and a failed close would have skipped the log and the end of the process.

Change: at least 0.2 s are given to the close however late it is; a server that opens after the close is closed; a failure is logged and the stop goes on. No test of its own.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServers.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServers.kt
@@ -5,6 +5,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
+import org.tinylog.kotlin.Logger
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.Timestamp
 
@@ -12,9 +13,13 @@
 internal class CallerServers(private val clock: () -> Timestamp) {
     private val servers = CopyOnWriteArrayList<HttpServer>()
 
-    /** Includes [server], which listens. */
+    @Volatile
+    private var closeDeadline: Deadline? = null
+
+    /** Adds a listening server, and closes it if [close] was called before. */
     fun opened(server: HttpServer) {
         servers += server
+        closeDeadline?.let { shutDown(server, it) }
     }
 
     /**
@@ -22,8 +27,16 @@
      * returns once all are closed. At [deadline] the others are closed as well.
      */
     suspend fun close(deadline: Deadline) {
+        closeDeadline = deadline
+        Future.join(servers.map { shutDown(it, deadline) }).coAwait()
+    }
+
+    private fun shutDown(server: HttpServer, deadline: Deadline): Future<Void> {
         // A timeout of 0 would close connections whose answers are being written.
         val milliseconds = deadline.millisecondsLeft(clock()).coerceAtLeast(1)
-        Future.join(servers.map { it.shutdown(milliseconds, TimeUnit.MILLISECONDS) }).coAwait()
+        return server.shutdown(milliseconds, TimeUnit.MILLISECONDS).recover { cause ->
+            Logger.warn(cause) { "stop: a server of callers could not be closed" }
+            Future.succeededFuture()
+        }
     }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -66,7 +66,6 @@
      */
     suspend fun run(): Deadline {
         val beganAt = clock()
-        val closeDeadline = beganAt.deadlineAfter(stopMilliseconds + CLOSE_MILLISECONDS)
         logStage("began", beganAt)
         plannedStop.run()
         isEnding = true
@@ -74,8 +73,13 @@
         plannedStop.run()
         logStage("ended", beganAt)
         drain.interruptAll()
-        withTimeoutOrNull(closeDeadline.millisecondsLeft(clock())) {
-            closeServers(closeDeadline)
+        // A stop that is late still gives the last answers time to be written.
+        val closeDeadline = maxOf(
+            beganAt.deadlineAfter(stopMilliseconds + CLOSE_MILLISECONDS),
+            clock().deadlineAfter(LEAST_CLOSE_MILLISECONDS),
+        )
+        closeServers(closeDeadline)
+        withTimeoutOrNull(SETTLE_MILLISECONDS) {
             while (drain.connections > 0) delay(POLL_MILLISECONDS)
         }
         logStage("closed", beganAt)
@@ -141,6 +145,10 @@
 
         /** Leaves the rest of [EXIT_MILLISECONDS] to the exit. */
         const val LOG_MILLISECONDS = 450L
+        const val LEAST_CLOSE_MILLISECONDS = 200L
+
+        /** Time in which connections that were closed are reported as closed. */
+        const val SETTLE_MILLISECONDS = 50L
         const val POLL_MILLISECONDS = 5L
         const val MILLISECONDS_PER_SECOND = 1_000
     }
