--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -86,7 +86,7 @@
     private val fleet = Locked(FleetView(settings.vm))
     private val storeCache = StoreCache(directory, log, clock, ::targetsChanged)
     private val storeWatcher =
-        StoreWatcher(builder.store(vertx), storeCache, log, clock, random)
+        StoreWatcher(builder.store(vertx), storeCache, log, metrics, clock, random)
     private val dispatcher: PoolDispatcher = PoolDispatcher(
         settings.dataCentre,
         directory,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -73,12 +73,21 @@
         val pauseMilliseconds: Long? = null,
     ) : GatewayEvent
 
-    /** The store became unavailable or available again, or lost its history. */
+    /**
+     * The store became unavailable or available again, or lost its history.
+     *
+     * @property callMilliseconds duration of the call that showed it
+     * @property silentMilliseconds time since the previous answer of the store
+     * @property failedCalls number of calls without an answer in that time
+     */
     @Serializable
     @SerialName("store")
     public data class StoreState(
         val state: String,
         val position: Long?,
+        val callMilliseconds: Long,
+        val silentMilliseconds: Long,
+        val failedCalls: Int,
         val reason: String? = null,
     ) : GatewayEvent
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayMetrics.kt
@@ -11,6 +11,8 @@
         histogram("vanilladale_first_event_seconds", "Arrival to the first event of a stream")
     private val gaps = histogram("vanilladale_event_gap_seconds", "Pause between two events")
     private val waits = histogram("vanilladale_place_wait_seconds", "Wait for a place at a target")
+    private val storePauses =
+        histogram("vanilladale_store_pause_seconds", "Pause between two answers of the store")
 
     fun recordAnswer(milliseconds: Long) = answers.observe(milliseconds / MILLISECONDS_PER_SECOND)
 
@@ -21,6 +23,9 @@
 
     fun recordWait(milliseconds: Long) = waits.observe(milliseconds / MILLISECONDS_PER_SECOND)
 
+    fun recordStorePause(milliseconds: Long) =
+        storePauses.observe(milliseconds / MILLISECONDS_PER_SECOND)
+
     private fun histogram(name: String, help: String): Histogram = counters.register(
         Histogram.builder().name(name).help(help).classicOnly().classicExponentialUpperBounds(
             FIRST_BOUND_SECONDS,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
@@ -21,6 +21,7 @@
     private val store: StorePort,
     private val cache: StoreCache,
     private val log: GatewayLog,
+    private val metrics: GatewayMetrics,
     private val clock: () -> Timestamp,
     private val random: Random,
 ) {
@@ -28,6 +29,7 @@
     private var position: Revision? = null
     private var failures = 0
     private var lastAnswerAt = clock()
+    private var callStartedAt = clock()
     private var graceUntil: Deadline = clock().deadlineAfter(0)
 
     /** Queries the store again immediately because a peer has a newer revision. */
@@ -39,6 +41,7 @@
     suspend fun run(scope: CoroutineScope) {
         while (true) {
             val from = position
+            callStartedAt = clock()
             if (from == null) take(store.read(timeoutMilliseconds())) else take(watch(scope, from))
         }
     }
@@ -72,7 +75,7 @@
             }
 
             StoreReadResult.HistoryLost -> {
-                log.log(GatewayEvent.StoreState("history-lost", position?.value))
+                logState("history-lost")
                 position = null
             }
 
@@ -83,13 +86,29 @@
     private fun handleSuccess() {
         val now = clock()
         val pause = now.millisecondsSince(lastAnswerAt)
-        lastAnswerAt = now
-        if (failures == 0) return
-        failures = 0
-        if (pause >= MIN_LAPSE_MILLISECONDS) {
-            graceUntil = now.deadlineAfter(TargetDirectory.DEFAULT_GRACE_MILLISECONDS)
+        metrics.recordStorePause(pause)
+        if (failures > 0) {
+            if (pause >= MIN_LAPSE_MILLISECONDS) {
+                graceUntil = now.deadlineAfter(TargetDirectory.DEFAULT_GRACE_MILLISECONDS)
+            }
+            logState("regained")
         }
-        log.log(GatewayEvent.StoreState("regained", position?.value))
+        failures = 0
+        lastAnswerAt = now
+    }
+
+    private fun logState(state: String, reason: String? = null) {
+        val now = clock()
+        log.log(
+            GatewayEvent.StoreState(
+                state,
+                position?.value,
+                now.millisecondsSince(callStartedAt),
+                now.millisecondsSince(lastAnswerAt),
+                failures,
+                reason,
+            ),
+        )
     }
 
     /**
@@ -100,12 +119,13 @@
         MIN_TIMEOUT_MILLISECONDS shl failures.coerceAtMost(MAX_TIMEOUT_DOUBLINGS)
 
     private suspend fun handleFailure(read: StoreReadResult.Failed) {
-        if (failures == 0) log.log(GatewayEvent.StoreState("lost", position?.value, read.reason))
+        metrics.counters.event("store-call-failed")
         val retryDelay = (
             MIN_RETRY_DELAY_MILLISECONDS shl
                 failures.coerceAtMost(MAX_RETRY_DELAY_DOUBLINGS)
             )
         failures++
+        if (failures == 1) logState("lost", read.reason)
         delay(retryDelay / 2 + random.nextLong(retryDelay / 2 + 1))
     }
 
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/StoreWatcherTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/StoreWatcherTest.kt
@@ -1,23 +1,14 @@
 package org.vanilladale.gateway
 
-import kotlin.random.Random
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
-import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
-import org.vanilladale.core.gateway.KnownTarget
 import org.vanilladale.core.gateway.TargetDirectory
 import org.vanilladale.core.shard.Locked
-import org.vanilladale.runtime.EventLog
-import org.vanilladale.schema.PoolName
 import org.vanilladale.schema.Revision
-import org.vanilladale.schema.SocketAddressText
-import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.Timestamp
-import org.vanilladale.schema.VmId
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -55,61 +46,6 @@
         }
     }
 
-    /**
-     * Holds one target. Watches in flight at [silentAt] get no answer, and calls that begin in
-     * [failing] fail at once.
-     */
-    private class OneTargetStore(
-        private val now: () -> Long,
-        private val silentAt: Long = Long.MAX_VALUE,
-        private val failing: LongRange = LongRange.EMPTY,
-    ) : StorePort {
-        private var revision = 1L
-        private var target: KnownTarget? = targetOf(leaving = false)
-
-        fun set(changed: KnownTarget?) {
-            target = changed
-            revision++
-        }
-
-        override suspend fun read(timeoutMilliseconds: Long): StoreReadResult {
-            if (now() in failing) return StoreReadResult.Failed("refused")
-            val position = Revision(revision)
-            return StoreReadResult.Snapshot(position, null, listOfNotNull(target), position)
-        }
-
-        override suspend fun watch(
-            position: Revision,
-            waitMilliseconds: Long,
-            timeoutMilliseconds: Long,
-        ): StoreReadResult {
-            val startedAt = now()
-            if (startedAt in failing) return StoreReadResult.Failed("refused")
-            while (position.value == revision && now() < startedAt + waitMilliseconds) {
-                if (silentAt in startedAt..now()) {
-                    delay(startedAt + waitMilliseconds + timeoutMilliseconds - now())
-                    return StoreReadResult.Failed("no answer")
-                }
-                delay(STORE_STEP_MILLISECONDS)
-            }
-            val current = Revision(revision)
-            val changes = listOf(TargetChange(TARGET, target)).filter { current > position }
-            return StoreReadResult.Changes(current, null, changes, current)
-        }
-    }
-
-    private fun TestScope.startWatcher(
-        store: StorePort,
-        directory: Locked<TargetDirectory> = Locked(TargetDirectory()),
-    ): StoreCache {
-        val clock = { Timestamp.fromEpochMilliseconds(currentTime) }
-        val log = GatewayLog(VmId.parse("vm-0"), EventLog({}, {}), clock)
-        val cache = StoreCache(directory, log, clock) {}
-        val watcher = StoreWatcher(store, cache, log, clock, Random(1))
-        backgroundScope.launch { watcher.run(backgroundScope) }
-        return cache
-    }
-
     @Test
     fun `targets are known soon after a store outage that lasted during the start`() = runTest {
         val cache = startWatcher(SilentStore({ currentTime }, backAt = 200, answersIn = 5))
@@ -127,7 +63,7 @@
     @Test
     fun `a leaving target is known before an entry whose watch fell silent counts as connected`() =
         runTest {
-            val store = OneTargetStore({ currentTime }, silentAt = 500)
+            val store = OneTargetStore({ currentTime }, silent = 500L..500L)
             val directory = Locked(TargetDirectory())
             startWatcher(store, directory)
             delay(1_000)
@@ -165,24 +101,10 @@
         use { it.usable(POOL, Timestamp.fromEpochMilliseconds(milliseconds)) }
 
     private companion object {
-        const val STORE_STEP_MILLISECONDS = 5L
-
         /** Time of the platform after which an entry whose connections failed counts again. */
         const val CONTACT_MILLISECONDS = 3_000L
 
         /** Time of the platform for which a target that leaves goes on serving. */
         const val DRAIN_MILLISECONDS = 2_000L
-        val POOL = PoolName.parse("desk")
-        val TARGET = TargetId.parse("i-1")
-
-        fun targetOf(leaving: Boolean) = KnownTarget(
-            TARGET,
-            POOL,
-            SocketAddressText.parse("10.0.0.1:80"),
-            null,
-            1,
-            leaving,
-            null,
-        )
     }
 }
