--- a/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
@@ -15,7 +15,9 @@
  * Keeps [cache] up to date: reads the store once and then watches it for changes.
  *
  * A watch can stop delivering changes without an error. Each watch call therefore ends after
- * [WATCH_MILLISECONDS] at the latest, and immediately when a peer has a newer revision.
+ * [WATCH_MILLISECONDS] at the latest, and immediately when a peer has a newer revision. After a
+ * failure, calls that do not wait for changes overlap until one is answered; see
+ * [OverlappingCalls].
  */
 internal class StoreWatcher(
     private val store: StorePort,
@@ -26,12 +28,17 @@
     private val random: Random,
 ) {
     private val refreshRequests = Channel<Unit>(Channel.CONFLATED)
+    private val callsWhileLost =
+        OverlappingCalls(MAX_CALLS, PATIENCE_MILLISECONDS, ::retryDelayMilliseconds)
     private var position: Revision? = null
+
+    /** Number of calls that failed since the last answer. */
     private var failures = 0
     private var lastAnswerAt = clock()
-    private var callStartedAt = clock()
     private var graceUntil: Deadline = clock().deadlineAfter(0)
 
+    private class Call(val startedAt: Timestamp, val result: StoreReadResult)
+
     /** Queries the store again immediately because a peer has a newer revision. */
     fun refresh() {
         refreshRequests.trySend(Unit)
@@ -40,27 +47,46 @@
     /** Watches the store until [scope] ends. */
     suspend fun run(scope: CoroutineScope) {
         while (true) {
-            val from = position
-            callStartedAt = clock()
-            if (from == null) take(store.read(timeoutMilliseconds())) else take(watch(scope, from))
+            val call = if (failures == 0) {
+                timed { position?.let { watch(scope, it) } ?: store.read(TIMEOUT_MILLISECONDS) }
+            } else {
+                callsWhileLost.firstAnswer(::callWithoutWaitOrNull)
+            }
+            take(call)
         }
     }
 
+    private suspend fun timed(block: suspend () -> StoreReadResult): Call {
+        val startedAt = clock()
+        return Call(startedAt, block())
+    }
+
     private suspend fun watch(scope: CoroutineScope, from: Revision): StoreReadResult {
         while (refreshRequests.tryReceive().isSuccess) Unit
-        val answer =
-            scope.async { store.watch(from, WATCH_MILLISECONDS, timeoutMilliseconds()) }
+        val answer = scope.async { store.watch(from, WATCH_MILLISECONDS, TIMEOUT_MILLISECONDS) }
         return select {
             answer.onAwait { it }
             refreshRequests.onReceive {
                 answer.cancel()
-                store.watch(from, 0, timeoutMilliseconds())
+                store.watch(from, 0, TIMEOUT_MILLISECONDS)
             }
         }
     }
 
-    private suspend fun take(read: StoreReadResult) {
-        if (read !is StoreReadResult.Failed) handleSuccess()
+    /** Asks for what is new at once. Returns null without an answer. */
+    private suspend fun callWithoutWaitOrNull(): Call? {
+        val call = timed {
+            position?.let { store.watch(it, 0, LOST_TIMEOUT_MILLISECONDS) }
+                ?: store.read(LOST_TIMEOUT_MILLISECONDS)
+        }
+        if (call.result !is StoreReadResult.Failed) return call
+        countFailure()
+        return null
+    }
+
+    private suspend fun take(call: Call) {
+        val read = call.result
+        if (read !is StoreReadResult.Failed) handleSuccess(call)
         when (read) {
             is StoreReadResult.Snapshot -> {
                 cache.apply(read, graceUntil)
@@ -75,15 +101,18 @@
             }
 
             StoreReadResult.HistoryLost -> {
-                logState("history-lost")
+                logState("history-lost", call)
                 position = null
             }
 
-            is StoreReadResult.Failed -> handleFailure(read)
+            is StoreReadResult.Failed -> {
+                countFailure()
+                logState("lost", call, read.reason)
+            }
         }
     }
 
-    private fun handleSuccess() {
+    private fun handleSuccess(call: Call) {
         val now = clock()
         val pause = now.millisecondsSince(lastAnswerAt)
         metrics.recordStorePause(pause)
@@ -91,19 +120,19 @@
             if (pause >= MIN_LAPSE_MILLISECONDS) {
                 graceUntil = now.deadlineAfter(TargetDirectory.DEFAULT_GRACE_MILLISECONDS)
             }
-            logState("regained")
+            logState("regained", call)
         }
         failures = 0
         lastAnswerAt = now
     }
 
-    private fun logState(state: String, reason: String? = null) {
+    private fun logState(state: String, call: Call, reason: String? = null) {
         val now = clock()
         log.log(
             GatewayEvent.StoreState(
                 state,
                 position?.value,
-                now.millisecondsSince(callStartedAt),
+                now.millisecondsSince(call.startedAt),
                 now.millisecondsSince(lastAnswerAt),
                 failures,
                 reason,
@@ -111,22 +140,16 @@
         )
     }
 
-    /**
-     * Returns the timeout of the next call. It starts short, so that a store that does not answer
-     * is asked again soon, and doubles with each failure for a store that is slow.
-     */
-    private fun timeoutMilliseconds(): Long =
-        MIN_TIMEOUT_MILLISECONDS shl failures.coerceAtMost(MAX_TIMEOUT_DOUBLINGS)
-
-    private suspend fun handleFailure(read: StoreReadResult.Failed) {
-        metrics.counters.event("store-call-failed")
-        val retryDelay = (
-            MIN_RETRY_DELAY_MILLISECONDS shl
-                failures.coerceAtMost(MAX_RETRY_DELAY_DOUBLINGS)
-            )
+    private fun countFailure() {
         failures++
-        if (failures == 1) logState("lost", read.reason)
-        delay(retryDelay / 2 + random.nextLong(retryDelay / 2 + 1))
+        metrics.counters.event("store-call-failed")
+    }
+
+    /** Returns the pause before call number [count] of those that overlap, a random part of it. */
+    private fun retryDelayMilliseconds(count: Int): Long {
+        val most =
+            MIN_RETRY_DELAY_MILLISECONDS shl count.coerceAtMost(MAX_RETRY_DELAY_DOUBLINGS)
+        return most / 2 + random.nextLong(most / 2 + 1)
     }
 
     private companion object {
@@ -140,15 +163,25 @@
         const val BURST_MILLISECONDS = 150L
         const val MIN_RETRY_DELAY_MILLISECONDS = 100L
 
+        const val MAX_RETRY_DELAY_DOUBLINGS = 3
+
         /**
          * The store normally answers within a few milliseconds, and within a quarter of a second
          * when it is slow.
          */
-        const val MIN_TIMEOUT_MILLISECONDS = 400L
+        const val TIMEOUT_MILLISECONDS = 400L
 
-        /** Limits the timeout to 1.6 s. Dependent components do not tolerate a slower store. */
-        const val MAX_TIMEOUT_DOUBLINGS = 2
-        const val MAX_RETRY_DELAY_DOUBLINGS = 3
+        /** Timeout after a failure. Dependent components do not tolerate a slower store. */
+        const val LOST_TIMEOUT_MILLISECONDS = 1_600L
+
+        /**
+         * With the longest pause, a call follows within 1.2 s, well within the two seconds after
+         * which a change has to be in force.
+         */
+        const val PATIENCE_MILLISECONDS = TIMEOUT_MILLISECONDS
+
+        /** Fewer than the connections that a client opens to one server. */
+        const val MAX_CALLS = 4
 
         /**
          * Registrations lapse after three intervals of 1.2 s without a heartbeat. The last one
