Order waiting requests by priority, also across entries

Cause: all waiting requests counted alike, here and at peers, so a burst of the least urgent kind got the most urgent refused. While the first event took longer than a goal of 403 ms, urgent requests counted as late on arrival and went behind less urgent ones with a goal of 803 ms.

Change: RequestQueues orders by priority; predicted waits count only what is at least as urgent; heartbeats state waiting requests by priority; the most urgent may use the reserve of a group at once and others leave part of it; waiting requests are refused when more urgent ones take their place; times to return are spread; targets are told the priority. Pools with one priority decide as before.

--- a/core/src/main/kotlin/org/vanilladale/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/admission/FairQueue.kt
@@ -68,6 +68,17 @@
     /** Number of waiting requests. */
     public val size: Int get() = byKey.size
 
+    /** Highest priority of a waiting request, or null if none waits. */
+    public val highestPriorityOrNull: Int?
+        get() = levels.indexOfLast { it.byWorkspace.isNotEmpty() }.takeIf { it >= 0 }
+
+    /** Returns the number of waiting requests of [priority]. */
+    public fun sizeAt(priority: Int): Int = levels[priority].byWorkspace.values.sumOf { it.size }
+
+    /** Returns the request of [priority] that has waited longest, or null if none waits. */
+    public fun oldestOrNull(priority: Int): QueuedRequest<K>? =
+        byKey.values.firstOrNull { it.priority == priority }
+
     /** Returns the number of waiting requests of [workspace]. */
     public fun sizeOf(workspace: WorkspaceId): Int = lengths[workspace] ?: 0
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
@@ -113,6 +113,24 @@
     /** Returns the number of requests that wait at peers for a slot in [pool]. */
     public fun waiting(pool: PoolName): Int = waiting[pool] ?: 0
 
+    /**
+     * Returns the number of requests that wait at peers for a slot in [pool] and are at least as
+     * urgent as [priority]. All requests of a peer that does not state their priorities count.
+     */
+    public fun waitingFrom(pool: PoolName, priority: Int): Int = waitingRows(pool).sumOf { row ->
+        if (row.byPriority.isEmpty()) row.waiting else row.byPriority.take(priority + 1).sum()
+    }
+
+    /**
+     * Returns the number of requests that wait at peers for a slot in [pool] and are known to be
+     * more urgent than [priority].
+     */
+    public fun waitingBefore(pool: PoolName, priority: Int): Int =
+        waitingRows(pool).sumOf { it.byPriority.take(priority).sum() }
+
+    private fun waitingRows(pool: PoolName) =
+        peers.values.flatMap { peer -> peer.heartbeat.waiting.filter { it.pool == pool } }
+
     /** Returns the number of peers at which requests wait for a slot in [pool]. */
     public fun waitingEntries(pool: PoolName): Int = waitingEntries[pool] ?: 0
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/QueueingRule.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/QueueingRule.kt
@@ -41,24 +41,46 @@
     /** The delay of a retry is at most the time left until the deadline, divided by this. */
     private const val RETRY_DELAY_DIVISOR = 3
 
-    /** Returns the deadline for the wait, or the refusal of the request. */
+    /**
+     * Returns the deadline for the wait, or the refusal of the request.
+     *
+     * @param spread position of the time to return between the predicted time and one and a half
+     *   times that, in 0..1. Callers that were refused together then don't return together
+     */
     public fun decide(
         backlog: PoolBacklog,
         deadline: Deadline,
         now: Timestamp,
+        spread: Double = 0.0,
     ): Either<Refusal, Deadline> {
         val wait = backlog.waitMillisecondsOrNull
-        val left = deadline.millisecondsLeft(now)
-        val longest = minOf(MAX_WAIT_MILLISECONDS, left / 2)
+        val longest = longestWaitMilliseconds(deadline, now)
         if (wait != null && wait <= longest) return now.deadlineAfter(longest).right()
-        val retryDelay = ((wait ?: longest) - longest / 2)
-            .coerceIn(
-                MIN_RETRY_DELAY_MILLISECONDS,
-                maxOf(
-                    MIN_RETRY_DELAY_MILLISECONDS,
-                    left / RETRY_DELAY_DIVISOR,
-                ),
-            )
+        return refusal(backlog, deadline, now, spread).left()
+    }
+
+    /** Returns the refusal of a request for which [backlog] is too long; see [decide]. */
+    public fun refusal(
+        backlog: PoolBacklog,
+        deadline: Deadline,
+        now: Timestamp,
+        spread: Double = 0.0,
+    ): Refusal {
+        val wait = backlog.waitMillisecondsOrNull
+        val longest = longestWaitMilliseconds(deadline, now)
+        val most = maxOf(
+            MIN_RETRY_DELAY_MILLISECONDS,
+            deadline.millisecondsLeft(now) / RETRY_DELAY_DIVISOR,
+        )
+        val predicted = ((wait ?: longest) - longest / 2)
+            .coerceIn(MIN_RETRY_DELAY_MILLISECONDS, most)
+        val spreadDelay = (spread * predicted / 2).toLong()
+        // A time beyond the longest is spread over the time before it instead.
+        val retryDelay = if (predicted + spreadDelay <= most) {
+            predicted + spreadDelay
+        } else {
+            maxOf(MIN_RETRY_DELAY_MILLISECONDS, most - spreadDelay)
+        }
         val reason =
             if (wait == null) RefusalReason.NO_TARGET else RefusalReason.TARGET_OVERLOADED
         return Refusal(
@@ -66,6 +88,9 @@
             detail = "${backlog.waiting} requests wait for ${backlog.slots} places, " +
                 "predicted wait ${wait ?: "unknown"} ms",
             retryAt = now.deadlineAfter(retryDelay),
-        ).left()
+        )
     }
+
+    private fun longestWaitMilliseconds(deadline: Deadline, now: Timestamp): Long =
+        minOf(MAX_WAIT_MILLISECONDS, deadline.millisecondsLeft(now) / 2)
 }
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -40,6 +40,12 @@
     /** As far as the gaps between events meet their goal, also after a shift of the demand. */
     NORMAL,
 
+    /**
+     * Into part of the reserve for a shift of the demand. The rest is left to more urgent requests,
+     * which would otherwise find no slot in a burst of less urgent ones.
+     */
+    YIELDING,
+
     /** Into most of the reserve for a shift of the demand. */
     URGENT,
 
@@ -215,6 +221,10 @@
             Urgency.URGENT ->
                 requestLimit(engine, skew, gapGoalMilliseconds, URGENT_SKEW_RESERVE)
 
+            Urgency.YIELDING ->
+                SHARED_PART_OF_LIMIT *
+                    requestLimit(engine, skew, gapGoalMilliseconds, URGENT_SKEW_RESERVE)
+
             Urgency.LATE -> {
                 val reserve =
                     if (isSmallFleet) URGENT_SKEW_RESERVE else SHIFT_SKEW_RESERVE
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.vanilladale.core.admission.BufferBudget
 import org.vanilladale.core.gateway.KnownTarget
+import org.vanilladale.core.gateway.PriorityMix
 import org.vanilladale.core.retry.AttemptEnd
 import org.vanilladale.core.stream.EventSplitter
 import org.vanilladale.core.stream.StreamEvent
@@ -78,6 +79,7 @@
             request.workspace?.id,
             request.deadline.millisecondsLeft(clock()),
             progress?.lastEvent,
+            request.priority.takeIf { request.statesPriority }?.let(PriorityMix::levelOf),
         ),
     )
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedHead.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedHead.kt
@@ -11,6 +11,7 @@
  * @property callerHeaders headers as the caller sent them
  * @property remainingMilliseconds time that the target has for the request
  * @property resumeAfter id of the last event that the caller has received
+ * @property priority priority for the target's own queue, 0 is the most urgent; null to state none
  */
 public class ForwardedHead(
     public val callerHeaders: MultiMap,
@@ -19,4 +20,5 @@
     public val workspace: WorkspaceId?,
     public val remainingMilliseconds: Long,
     public val resumeAfter: Long?,
+    public val priority: Int? = null,
 )
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
@@ -56,6 +56,10 @@
     @Volatile
     var mayHaveRun = false
 
+    /** True if targets are told the priority, because requests of other priorities compete. */
+    @Volatile
+    var statesPriority = false
+
     /** Traits by which the request is recognized if targets crash with it. */
     val traits: Set<RequestTrait> by lazy {
         val caller = workspace?.id?.text.orEmpty()
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -57,9 +57,12 @@
             suspects.refusalOrNull(traits)?.let { return finish(state, it, answer) }
             val waitedFrom = clock()
             val slot = dispatcher.acquire(request, state.tried, answer.isStarted)
-                .getOrElse { return finish(state, it, answer) }
+                .getOrElse {
+                    metrics.recordNoSlot(request.priority)
+                    return finish(state, it, answer)
+                }
             val waitedMilliseconds = clock().millisecondsSince(waitedFrom)
-            metrics.recordWait(waitedMilliseconds)
+            metrics.recordWait(waitedMilliseconds, request.priority)
             // A stop may have begun, or a target have crashed, during the wait.
             val admitted = stopRefusalOrNull(request, answer)?.left() ?: suspects.begin(traits)
             val trial = admitted.getOrElse {
@@ -208,6 +211,7 @@
                 slot.running,
                 request.deadline.millisecondsLeft(clock()),
                 request.tablesRevision.value,
+                request.priority.takeIf { request.statesPriority },
             ),
         )
     }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -118,7 +118,7 @@
     @SerialName("peer")
     public data class PeerState(val vm: String, val state: String, val live: Int) : GatewayEvent
 
-    /** A target was chosen for an attempt. */
+    /** A target was chosen for an attempt. [priority] is null while all requests have the same. */
     @Serializable
     @SerialName("placed")
     public data class Placed(
@@ -129,6 +129,7 @@
         val running: Int,
         val leftMilliseconds: Long,
         val tablesRevision: Long,
+        val priority: Int? = null,
     ) : GatewayEvent
 
     /** An attempt ended without a complete answer. */
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -14,6 +14,7 @@
 import org.vanilladale.core.gateway.PassTiming
 import org.vanilladale.core.gateway.PauseRule
 import org.vanilladale.core.gateway.PlacementCandidate
+import org.vanilladale.core.gateway.PriorityMix
 import org.vanilladale.core.gateway.TargetDirectory
 import org.vanilladale.core.gateway.TargetOutcomes
 import org.vanilladale.core.refusal.Refusal
@@ -68,7 +69,7 @@
             cancelWaiting(poolName, waiter)?.let { release(poolName, it.target.id, clock()) }
             throw cancelled
         }
-        return slot?.right() ?: refusalOfWaiter(poolName).left()
+        return slot?.right() ?: (waiter.refusal ?: refusalOfWaiter(poolName)).left()
     }
 
     private fun refusalOfWaiter(pool: PoolName): Refusal = evacuationRefusalOrNull(pool)
@@ -158,7 +159,9 @@
     /** Returns the number of requests of each pool that wait and can meet their goal, if any. */
     fun waiting(): List<PoolWaiting> = pools.mapShards { shard ->
         shard.filterValues { it.waitingInTime > 0 }
-            .map { (name, state) -> PoolWaiting(name, state.waitingInTime) }
+            .map { (name, state) ->
+                PoolWaiting(name, state.waitingInTime, state.waitingByPriority(clock()))
+            }
     }.flatten()
 
     /** Returns the durations of the passes of [ranks], a group of [pool], or null when unknown. */
@@ -215,15 +218,23 @@
         }
     }
 
+    private fun waitingAtPeers(view: FleetView, pool: PoolName, priority: Int): Int =
+        if (priority >= PriorityMix.LEAST_URGENT) {
+            view.waiting(pool)
+        } else {
+            view.waitingFrom(pool, priority)
+        }
+
     private fun <R> withPool(pool: PoolName, block: PoolState.() -> R): R =
         pools.withShard(pool) { shard ->
             shard.getOrPut(pool) {
                 PoolState(
                     random,
                     { state, now -> candidates(state, pool, now) },
-                    { fleet.use { it.waiting(pool) } },
+                    { priority -> fleet.use { waitingAtPeers(it, pool, priority) } },
                     { fleet.use { it.waitingEntries(pool) } },
                     callerFacingEntries,
+                    { priority -> fleet.use { it.waitingBefore(pool, priority) } },
                     coldTargets::recordSend,
                 )
             }.block()
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -5,8 +5,6 @@
 import arrow.core.right
 import kotlin.random.Random
 import kotlinx.coroutines.CompletableDeferred
-import org.vanilladale.core.admission.FairQueue
-import org.vanilladale.core.admission.QueuedRequest
 import org.vanilladale.core.gateway.EngineProfile
 import org.vanilladale.core.gateway.GatewayPool
 import org.vanilladale.core.gateway.KnownTarget
@@ -14,6 +12,7 @@
 import org.vanilladale.core.gateway.PauseRule
 import org.vanilladale.core.gateway.PlacementCandidate
 import org.vanilladale.core.gateway.PoolBacklog
+import org.vanilladale.core.gateway.PriorityMix
 import org.vanilladale.core.gateway.QueueingRule
 import org.vanilladale.core.gateway.ServiceTimes
 import org.vanilladale.core.gateway.TargetOutcomes
@@ -23,7 +22,6 @@
 import org.vanilladale.schema.Deadline
 import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.Timestamp
-import org.vanilladale.schema.WorkspaceId
 
 /** A slot at [target], which is now running [running] requests of all entries. */
 internal class Slot(val target: KnownTarget, val running: Int)
@@ -47,6 +45,14 @@
 
     /** Time at which the request stops waiting. */
     var waitDeadline: Deadline = request.deadline
+
+    /** Refusal of a request that was given no slot, or null to state the usual one. */
+    @Volatile
+    var refusal: Refusal? = null
+
+    /** Time by which the first event or the answer is due. */
+    val goalDeadline: Deadline
+        get() = request.times.firstAttemptAt.deadlineAfter(request.route.goalMilliseconds)
 }
 
 /**
@@ -54,37 +60,26 @@
  *
  * @param candidates builds the placement candidates of the pool; it acquires the locks of the data
  *   that it reads
+ * @param requestsWaitingAtPeers number of requests that wait at peers and are at least as urgent as
+ *   a priority
+ * @param moreUrgentAtPeers number of requests that wait at peers, more urgent than a priority
  * @param onAssigned called for the target of each assigned slot
  * @param callerFacingEntries number of entries that share the limits of the pool
  */
 internal class PoolState(
     private val random: Random,
     private val candidates: (PoolState, Timestamp) -> List<PlacementCandidate>,
-    private val requestsWaitingAtPeers: () -> Int,
+    private val requestsWaitingAtPeers: (Int) -> Int,
     private val peersWithWaitingRequests: () -> Int,
     callerFacingEntries: () -> Int = { 1 },
+    private val moreUrgentAtPeers: (Int) -> Int = { 0 },
     private val onAssigned: (KnownTarget, Timestamp) -> Unit = { _, _ -> },
 ) {
     private val placement = TargetPlacement(random, callerFacingEntries)
     private val running = HashMap<TargetId, Int>()
 
-    /**
-     * Streams that were interrupted at a target. Their callers disconnect soon unless another event
-     * arrives.
-     */
-    private val continued = FairQueue<Waiter>(MAX_WAITING)
-
-    /** Requests whose answer can still arrive within the latency goal of their route. */
-    private val fresh = FairQueue<Waiter>(MAX_WAITING, newestFirst = true)
-
-    /**
-     * Requests that can no longer meet their latency goal. They get the slots that fresh requests
-     * leave free.
-     */
-    private val late = FairQueue<Waiter>(MAX_WAITING, newestFirst = true)
-
-    /** Next request to be assigned, already taken from its queue. */
-    private var head: Waiter? = null
+    private val queues = RequestQueues()
+    private val priorities = PriorityMix()
     private var averageServiceMilliseconds = 0.0
 
     val outcomes = TargetOutcomes()
@@ -93,15 +88,17 @@
     val serviceTimes = ServiceTimes()
 
     /** Number of requests that wait for a slot. */
-    val waiting: Int
-        get() = continued.size + fresh.size + late.size + if (head == null) 0 else 1
+    val waiting: Int get() = queues.size
 
     /**
      * Number of requests that wait for a slot and can meet their latency goal. Late requests are
      * left out, because they are served after these.
      */
-    val waitingInTime: Int
-        get() = continued.size + fresh.size + if (head?.isLate == false) 1 else 0
+    val waitingInTime: Int get() = queues.sizeInTime
+
+    /** Those of each priority from 0 on; empty while all requests have one priority. */
+    fun waitingByPriority(now: Timestamp): List<Int> =
+        if (priorities.isMixed(now)) queues.sizesInTime else emptyList()
 
     /** Targets that run requests of this entry. */
     val inUse: Set<TargetId> get() = running.keys
@@ -119,11 +116,11 @@
         pauseEnd: Deadline? = null,
     ): Either<Refusal, Deadline> {
         val request = waiter.request
+        priorities.record(request.priority, now)
+        val isMixed = priorities.isMixed(now)
         waiter.isLate = !waiter.isContinued &&
-            goalDeadlineOf(request).millisecondsLeft(now) <= firstAnswerMilliseconds(now)
-        // Late requests that wait do not show that there is no slot for one in time.
-        val waitingBefore = if (waiter.isLate) waiting else waitingInTime
-        if (waitingBefore == 0) {
+            waiter.goalDeadline.millisecondsLeft(now) <= firstAnswerMilliseconds(now)
+        if (waitingBefore(waiter, isMixed) == 0) {
             assignOrNull(waiter, candidates(this, now), now)?.let {
                 waiter.slot.complete(it)
                 return request.deadline.right()
@@ -138,50 +135,54 @@
                 Deadline::compareTo,
             ).right()
         } else {
-            QueueingRule.decide(backlog(waiter, now), request.deadline, now)
+            val spread = if (isMixed) random.nextDouble() else 0.0
+            QueueingRule.decide(backlog(waiter, isMixed, now), request.deadline, now, spread)
         }
         return decision.flatMap { waitDeadline ->
             waiter.waitDeadline = waitDeadline
-            // The head goes back to its queue, where newer requests come first.
-            head?.let { earlier -> enqueue(earlier).onLeft { earlier.slot.complete(null) } }
-            head = null
-            enqueue(waiter).map { waitDeadline }
+            queues.offer(waiter).map {
+                if (isMixed) refuseOutpaced(waiter, now)
+                waitDeadline
+            }
         }
     }
 
-    private fun enqueue(waiter: Waiter): Either<Refusal, Unit> {
-        if (waiter.isContinued) return enqueue(continued, waiter, waiter.waitDeadline)
-        if (waiter.isLate) return enqueue(late, waiter, waiter.waitDeadline)
-        val deadline =
-            minOf(goalDeadlineOf(waiter.request), waiter.waitDeadline, Deadline::compareTo)
-        return enqueue(fresh, waiter, deadline)
-    }
+    /** Returns the number of requests that wait here and get a slot before [waiter]. */
+    private fun waitingBefore(waiter: Waiter, isMixed: Boolean): Int = when {
+        isMixed -> queues.sizeFrom(waiter.request.priority, waiter.isLate)
+
+        waiter.isLate -> waiting
 
-    private fun goalDeadlineOf(request: ForwardedRequest): Deadline =
-        request.times.firstAttemptAt.deadlineAfter(request.route.goalMilliseconds)
-
-    private fun enqueue(queue: FairQueue<Waiter>, waiter: Waiter, deadline: Deadline) = queue.offer(
-        QueuedRequest(
-            waiter,
-            waiter.request.workspace?.id ?: NO_WORKSPACE,
-            (MAX_URGENCY - waiter.request.priority).coerceIn(0, MAX_URGENCY),
-            deadline,
-        ),
-    ).map { displaced ->
-        displaced?.key?.slot?.complete(null)
-        Unit
+        // Late requests that wait do not show that there is no slot for one in time.
+        else -> waitingInTime
     }
 
-    /** Returns the next waiter: a continued stream first, then a fresh request, then a late one. */
-    private fun nextOrNull(now: Timestamp): Waiter? {
-        continued.poll(now).next?.let { return it.key }
-        val polled = fresh.poll(now, firstAnswerMilliseconds(now))
-        polled.shed.forEach { shed ->
-            shed.key.isLate = true
-            enqueue(late, shed.key, shed.key.waitDeadline).onLeft { shed.key.slot.complete(null) }
+    /**
+     * Refuses the waiting requests that are less urgent than [arrived] and that can no longer
+     * expect a slot before they stop waiting. Their callers may return sooner than if they waited
+     * in vain.
+     */
+    private fun refuseOutpaced(arrived: Waiter, now: Timestamp) {
+        val lessUrgent = PriorityMix.levelOf(arrived.request.priority) + 1
+        for (priority in PriorityMix.LEAST_URGENT downTo lessUrgent) {
+            var oldest = queues.oldestOrNull(priority)
+            while (oldest != null && refuseIfOutpaced(oldest, now)) {
+                oldest = queues.oldestOrNull(priority)
+            }
         }
-        // A waiter past its deadline is refused by the timeout in its own coroutine.
-        return (polled.next ?: late.poll(now).next)?.key
+    }
+
+    /** Refuses [waiter], the last in its priority, if too many come before it. */
+    private fun refuseIfOutpaced(waiter: Waiter, now: Timestamp): Boolean {
+        val others = queues.sizeFrom(waiter.request.priority, withLate = true) - 1
+        val backlog = backlogOf(waiter, others, now)
+        val wait = backlog.waitMillisecondsOrNull
+        if (wait != null && wait <= waiter.waitDeadline.millisecondsLeft(now)) return false
+        queues.remove(waiter)
+        val spread = random.nextDouble()
+        waiter.refusal = QueueingRule.refusal(backlog, waiter.request.deadline, now, spread)
+        waiter.slot.complete(null)
+        return true
     }
 
     /**
@@ -199,11 +200,10 @@
     /** Assigns free slots to waiting requests. */
     fun fill(now: Timestamp) {
         while (true) {
-            val next = head ?: nextOrNull(now) ?: return
             // A request stays at the head until there is a slot for it.
-            head = next
+            val next = queues.peekOrNull(now, firstAnswerMilliseconds(now)) ?: return
             val slot = assignOrNull(next, candidates(this, now), now) ?: return
-            head = null
+            queues.removeHead()
             next.slot.complete(slot)
         }
     }
@@ -224,20 +224,14 @@
     fun refuseAllWaiters() = refuseWaiters { true }
 
     private fun refuseWaiters(isRefused: (Waiter) -> Boolean) {
-        val waiters = continued.keys + fresh.keys + late.keys + listOfNotNull(head)
-        waiters.filter(isRefused).forEach { waiter ->
+        queues.waiters.filter(isRefused).forEach { waiter ->
             remove(waiter)
             waiter.slot.complete(null)
         }
     }
 
     /** Removes [waiter] from the queues. */
-    fun remove(waiter: Waiter) {
-        if (head === waiter) head = null
-        continued.remove(waiter)
-        fresh.remove(waiter)
-        late.remove(waiter)
-    }
+    fun remove(waiter: Waiter) = queues.remove(waiter)
 
     /** Releases a slot at [target] that was held for [heldMilliseconds]. */
     fun release(target: TargetId, heldMilliseconds: Long) {
@@ -268,6 +262,7 @@
         ) ?: return null
         running.merge(chosen.target.id, 1, Int::plus)
         onAssigned(chosen.target, now)
+        request.statesPriority = priorities.isMixed(now)
         return Slot(chosen.target, chosen.running + 1)
     }
 
@@ -277,23 +272,58 @@
      * A request that is late anyway gets what the requests that can meet their goal leave, also
      * those at other entries. Requests that would wait too long for their goal may use most of the
      * reserve for a shift of the demand, because the next shift may be far away.
+     *
+     * While requests of several priorities compete, the most urgent ones may use that reserve at
+     * once, and the others leave part of it to them. While more urgent requests wait at peers, the
+     * others may not use the reserve at all.
      */
     private fun urgencyOf(waiter: Waiter, now: Timestamp): Urgency {
         val urgentFrom = waiter.request.arrivedAt.deadlineAfter(URGENT_AFTER_MILLISECONDS)
+        val isPressed = waitingInTime > 1 || urgentFrom.hasPassed(now)
+        val priority = PriorityMix.levelOf(waiter.request.priority)
         return when {
             waiter.isContinued -> Urgency.INTERRUPTED
+
+            !priorities.isMixed(now) -> when {
+                waiter.isLate -> Urgency.LATE
+                isPressed -> Urgency.URGENT
+                else -> Urgency.NORMAL
+            }
+
+            priorities.isMostUrgent(priority, now) ->
+                if (waiter.isLate) Urgency.NORMAL else Urgency.URGENT
+
+            moreUrgentAtPeers(priority) > 0 -> Urgency.NORMAL
+
             waiter.isLate -> Urgency.LATE
-            waitingInTime > 1 || urgentFrom.hasPassed(now) -> Urgency.URGENT
+
+            isPressed -> Urgency.YIELDING
+
             else -> Urgency.NORMAL
         }
     }
 
-    private fun backlog(waiter: Waiter, now: Timestamp): PoolBacklog {
+    private fun backlog(waiter: Waiter, isMixed: Boolean, now: Timestamp): PoolBacklog {
+        val before = waitingBefore(waiter, isMixed)
+        return if (isMixed) {
+            backlogOf(waiter, before, now)
+        } else {
+            backlogOf(waiter, before, now, PriorityMix.LEAST_URGENT)
+        }
+    }
+
+    /** Returns the load of the pool for [waiter] with [before] requests before it here. */
+    private fun backlogOf(
+        waiter: Waiter,
+        before: Int,
+        now: Timestamp,
+        priority: Int = waiter.request.priority,
+    ): PoolBacklog {
         val request = waiter.request
         val all = candidates(this, now)
         val slots = placement.slots(all, request.pool.engine, request.route.gapGoalMilliseconds)
         return PoolBacklog(
-            (if (waiter.isLate) waiting else waitingInTime) + requestsWaitingAtPeers(),
+            before + requestsWaitingAtPeers(PriorityMix.levelOf(priority)),
             slots,
             expectedServiceMilliseconds(request.pool),
         )
@@ -307,9 +337,6 @@
     }
 
     private companion object {
-        /** Bounds memory. [QueueingRule] admits far fewer requests. */
-        const val MAX_WAITING = 1_024
-        const val MAX_URGENCY = 9
         const val SERVICE_WEIGHT = 0.1
 
         /**
@@ -338,6 +365,5 @@
 
         /** Assumed service time of a plain service before its first answer. */
         const val DEFAULT_SERVICE_MILLISECONDS = 30.0
-        val NO_WORKSPACE = WorkspaceId.parse("-")
     }
 }
