Treat answers whose status is none of HTTP as failed attempts

Cause: any status that was neither a success nor 500 and above reached the caller as an answer, so a replica in trouble could hand out 000, and a header in such an answer could promise that a request had not run.

Change: a status outside 200 to 599 ends the attempt as broken; it may have run. The product's own interface takes no status but its successes as an answer (by reading).

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -107,6 +107,9 @@
 
     /** Returns the failure of an attempt whose answer has [head], or null if it may be used. */
     private fun faultOrNull(head: TargetHead): AttemptResult.Failed? = when {
+        !head.hasValidStatus ->
+            AttemptResult.Failed(AttemptEnd.BROKEN, "status ${head.status} is none of HTTP")
+
         // Nothing in the answer to another request, such as "not run", holds for this one.
         head.namesOtherRequest ->
             AttemptResult.Failed(AttemptEnd.BROKEN, "the answer to another request")
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/TargetHead.kt
@@ -29,12 +29,18 @@
     val pauseEnd: Deadline? = null,
     val oddStatements: List<String> = emptyList(),
 ) {
+    /**
+     * True for a final status of HTTP. A target in trouble may send another one, such as 000; then
+     * nothing in its answer can be relied on.
+     */
+    public val hasValidStatus: Boolean get() = status in FINAL_STATUSES
+
     /**
      * True if the answer is about this request and from the expected target, so that what it says
      * of its sender holds for that target.
      */
     public val speaksForTarget: Boolean
-        get() = echoesRequest && !isOtherTarget && (isSigned || isNotRun)
+        get() = hasValidStatus && echoesRequest && !isOtherTarget && (isSigned || isNotRun)
 
     /** True for a status that indicates success. */
     public val isSuccess: Boolean get() = status in SUCCESS_STATUSES
@@ -43,6 +49,7 @@
     public val isFailure: Boolean get() = status >= FIRST_FAILURE_STATUS
 
     private companion object {
+        val FINAL_STATUSES = 200..599
         val SUCCESS_STATUSES = 200..299
         const val FIRST_FAILURE_STATUS = 500
     }
