Keep the bounds of cold targets and priorities in the cases found by review

Change: an entry that hears none of the peers that it should know owns nothing; a start far in the future is ignored; totals by priority are kept as heartbeats come; a more urgent request goes past a head that has no slot. Entries send to the cold targets that they own as to home targets.

--- a/core/src/main/kotlin/org/vanilladale/core/gateway/ColdPeriod.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/ColdPeriod.kt
@@ -23,8 +23,9 @@
         evacuationEnd: Timestamp?,
         now: Timestamp,
     ): Deadline? {
-        // The clock of the target may be ahead of the own one.
-        val startedAt = target.startedAt?.let { minOf(it, now) }
+        // The clock of a target that starts much later than now is wrong.
+        val startedAt = target.startedAt
+            ?.takeIf { it.millisecondsSince(now) <= profile.coldMilliseconds }
         val ends = listOfNotNull(startedAt, evacuationEnd)
             .map { it.deadlineAfter(profile.coldMilliseconds) } + listOfNotNull(target.coldUntil)
         return ends.maxOrNull()?.takeUnless { it.hasPassed(now) }
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
@@ -4,6 +4,7 @@
 import org.vanilladale.schema.EntryBeat
 import org.vanilladale.schema.EntryPhase
 import org.vanilladale.schema.PoolName
+import org.vanilladale.schema.PoolWaiting
 import org.vanilladale.schema.Revision
 import org.vanilladale.schema.SocketAddressText
 import org.vanilladale.schema.TargetId
@@ -30,6 +31,8 @@
     private val totals = HashMap<TargetId, Totals>()
     private val waiting = HashMap<PoolName, Int>()
     private val waitingEntries = HashMap<PoolName, Int>()
+    private val statedWaiting = HashMap<PoolName, IntArray>()
+    private val unstatedWaiting = HashMap<PoolName, Int>()
 
     /** Peers with a recent heartbeat. */
     public val live: Collection<PeerEntry> get() = peers.values
@@ -80,14 +83,18 @@
     }
 
     /**
-     * Returns whether this entry may be cut off from the fleet: it has lost more peers than it
-     * hears. Peers that were leaving don't count, nor those that have been lost for long. In a
-     * fleet of at most [MAX_SMALL_FLEET] entries the answer is always false.
+     * Returns whether this entry may be cut off from the fleet: it hears no peer although there are
+     * some, or it has lost more peers than it hears. Peers that were leaving don't count, nor, if
+     * it hears others, those that have been lost for long or a fleet of at most [MAX_SMALL_FLEET]
+     * entries.
+     *
+     * @param expectsPeers whether the settings of this entry name others
      */
-    public fun mayBeCutOff(now: Timestamp): Boolean {
-        val lostLately = silent.values.count {
-            it.heartbeat.phase != EntryPhase.LEAVING &&
-                now.epochMilliseconds - it.silenceDeadline.epochMilliseconds <
+    public fun mayBeCutOff(expectsPeers: Boolean, now: Timestamp): Boolean {
+        val unreachable = silent.values.filter { it.heartbeat.phase != EntryPhase.LEAVING }
+        if (peers.isEmpty()) return expectsPeers || unreachable.isNotEmpty()
+        val lostLately = unreachable.count {
+            now.epochMilliseconds - it.silenceDeadline.epochMilliseconds <
                 LOST_LATELY_MILLISECONDS
         }
         return entryCount > MAX_SMALL_FLEET && lostLately > peers.size
@@ -117,19 +124,15 @@
      * Returns the number of requests that wait at peers for a slot in [pool] and are at least as
      * urgent as [priority]. All requests of a peer that does not state their priorities count.
      */
-    public fun waitingFrom(pool: PoolName, priority: Int): Int = waitingRows(pool).sumOf { row ->
-        if (row.byPriority.isEmpty()) row.waiting else row.byPriority.take(priority + 1).sum()
-    }
+    public fun waitingFrom(pool: PoolName, priority: Int): Int =
+        (unstatedWaiting[pool] ?: 0) + waitingBefore(pool, priority + 1)
 
     /**
      * Returns the number of requests that wait at peers for a slot in [pool] and are known to be
      * more urgent than [priority].
      */
     public fun waitingBefore(pool: PoolName, priority: Int): Int =
-        waitingRows(pool).sumOf { it.byPriority.take(priority).sum() }
-
-    private fun waitingRows(pool: PoolName) =
-        peers.values.flatMap { peer -> peer.heartbeat.waiting.filter { it.pool == pool } }
+        statedWaiting[pool]?.take(priority)?.sum() ?: 0
 
     /** Returns the number of peers at which requests wait for a slot in [pool]. */
     public fun waitingEntries(pool: PoolName): Int = waitingEntries[pool] ?: 0
@@ -162,6 +165,18 @@
         heartbeat.waiting.forEach { row ->
             waiting.merge(row.pool, sign * row.waiting, Int::plus)
             if (row.waiting > 0) waitingEntries.merge(row.pool, sign, Int::plus)
+            addPriorities(row, sign)
+        }
+    }
+
+    private fun addPriorities(row: PoolWaiting, sign: Int) {
+        if (row.byPriority.isEmpty()) {
+            unstatedWaiting.merge(row.pool, sign * row.waiting, Int::plus)
+            return
+        }
+        val totals = statedWaiting.getOrPut(row.pool) { IntArray(PriorityMix.PRIORITIES) }
+        row.byPriority.take(totals.size).forEachIndexed { priority, count ->
+            totals[priority] += sign * count
         }
     }
 
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/TargetPlacement.kt
@@ -40,6 +40,9 @@
     /** As far as the gaps between events meet their goal, also after a shift of the demand. */
     NORMAL,
 
+    /** Like [NORMAL], but leaves the same room to more urgent requests as [YIELDING]. */
+    BACKGROUND,
+
     /**
      * Into part of the reserve for a shift of the demand. The rest is left to more urgent requests,
      * which would otherwise find no slot in a burst of less urgent ones.
@@ -225,6 +228,12 @@
                 SHARED_PART_OF_LIMIT *
                     requestLimit(engine, skew, gapGoalMilliseconds, URGENT_SKEW_RESERVE)
 
+            Urgency.BACKGROUND -> minOf(
+                requestLimit(engine, skew, gapGoalMilliseconds, SHIFT_SKEW_RESERVE),
+                SHARED_PART_OF_LIMIT *
+                    requestLimit(engine, skew, gapGoalMilliseconds, URGENT_SKEW_RESERVE),
+            )
+
             Urgency.LATE -> {
                 val reserve =
                     if (isSmallFleet) URGENT_SKEW_RESERVE else SHIFT_SKEW_RESERVE
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/ColdPeriodTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/ColdPeriodTest.kt
@@ -43,8 +43,10 @@
     }
 
     @Test
-    fun `a target whose clock is ahead is not cold for longer than after a start now`() {
-        expectThat(endOrNull(startedAt = 900_000, now = 1_000)).isEqualTo(4_000)
+    fun `a target whose clock is ahead is not cold until the own clock has caught up`() {
+        expectThat(endOrNull(startedAt = 900_000, now = 1_000)).isNull()
+        expectThat(endOrNull(startedAt = 2_000, now = 1_000)).isEqualTo(5_000)
+        expectThat(endOrNull(startedAt = 2_000, now = 5_000)).isNull()
     }
 
     @Test
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
@@ -53,21 +53,42 @@
     @Test
     fun `an entry that lost more peers than it hears may be cut off`() {
         (1..5).forEach { view.receive(heartbeat("vm-$it", 1), at(0)) }
-        expectThat(view.mayBeCutOff(at(0))).isFalse()
+        expectThat(view.mayBeCutOff(true, at(0))).isFalse()
         (1..2).forEach { view.receive(heartbeat("vm-$it", 2), at(900)) }
         view.expire(at(1_000))
-        expectThat(view.mayBeCutOff(at(1_000))).isTrue()
+        expectThat(view.mayBeCutOff(true, at(1_000))).isTrue()
         view.receive(heartbeat("vm-3", 2), at(1_100))
-        expectThat(view.mayBeCutOff(at(1_100))).isFalse()
+        expectThat(view.mayBeCutOff(true, at(1_100))).isFalse()
     }
 
     @Test
     fun `peers that were leaving or have been lost for long don't make an entry cut off`() {
         (1..3).forEach { view.receive(heartbeat("vm-$it", 1, phase = EntryPhase.LEAVING), at(0)) }
-        view.receive(heartbeat("vm-4", 1), at(0))
+        (4..5).forEach { view.receive(heartbeat("vm-$it", 1), at(0)) }
+        view.receive(heartbeat("vm-6", 1), at(900))
         view.expire(at(1_000))
-        expectThat(view.mayBeCutOff(at(1_000))).isTrue()
-        expectThat(view.mayBeCutOff(at(61_000))).isFalse()
+        expectThat(view.mayBeCutOff(true, at(1_000))).isTrue()
+        view.receive(heartbeat("vm-6", 2), at(61_000))
+        expectThat(view.mayBeCutOff(true, at(61_000))).isFalse()
+    }
+
+    @Test
+    fun `an entry that hears nobody may be cut off if there are others`() {
+        expectThat(view.mayBeCutOff(expectsPeers = false, at(0))).isFalse()
+        expectThat(view.mayBeCutOff(expectsPeers = true, at(0))).isTrue()
+    }
+
+    @Test
+    fun `requests that wait at peers count by priority where a peer states it`() {
+        val stated = listOf(PoolWaiting(model, 6, listOf(1, 2, 3)))
+        view.receive(heartbeat("vm-1", 1, waiting = stated), at(0))
+        view.receive(heartbeat("vm-2", 1, waiting = listOf(PoolWaiting(model, 4))), at(0))
+        expectThat((0..2).map { view.waitingFrom(model, it) }).isEqualTo(listOf(5, 7, 10))
+        expectThat((0..2).map { view.waitingBefore(model, it) }).isEqualTo(listOf(0, 1, 3))
+        view.receive(heartbeat("vm-2", 2), at(900))
+        view.expire(at(1_000))
+        expectThat(view.waitingFrom(model, 2)).isEqualTo(0)
+        expectThat(view.waitingBefore(model, 2)).isEqualTo(0)
     }
 
     @Test
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ColdTargets.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ColdTargets.kt
@@ -20,6 +20,7 @@
  * [ColdTargetLimit]. Thread-safe.
  *
  * @param profileOf returns the limits of the cold targets of a pool, or null if it has none
+ * @param expectsPeers returns whether the settings name other entries
  * @param ownsFrom time from which this entry owns targets. An entry that has just started knows
  *   few of its peers, so it would take targets for its own that belong to others
  */
@@ -28,6 +29,7 @@
     private val directory: Locked<TargetDirectory>,
     private val fleet: Locked<FleetView>,
     private val profileOf: (PoolName) -> ColdProfile?,
+    private val expectsPeers: () -> Boolean,
     private val ownsFrom: Deadline,
     private val log: GatewayLog,
     private val metrics: GatewayMetrics,
@@ -42,30 +44,44 @@
     private val state = Locked(State())
 
     /** Sets the caller-facing entries, among which the owners of cold targets are chosen. */
-    fun updateEntries(entries: List<AddressCandidate>) = state.use {
-        if (it.entries == entries) return@use
-        it.entries = entries
-        it.owned.clear()
+    fun updateEntries(entries: List<AddressCandidate>) {
+        // The order of the peers changes with each heartbeat.
+        val sorted = entries.sortedBy { it.vm.text }
+        state.use {
+            if (it.entries == sorted) return@use
+            it.entries = sorted
+            it.owned.clear()
+        }
     }
 
     /** Whether a target was cold when it was last looked at. */
     val isActive: Boolean get() = state.use { it.cold.isNotEmpty() }
 
-    /** Returns those of the [targets] of [pool] that get no request of this entry at [now]. */
-    fun heldAmong(targets: List<KnownTarget>, pool: PoolName, now: Timestamp): Set<TargetId> {
-        val profile = profileOf(pool) ?: return emptySet()
+    /**
+     * Cold targets of a pool.
+     *
+     * @property held those that get no request of this entry at present
+     * @property open those that this entry owns and that may get a request now
+     */
+    class Selection(val held: Set<TargetId>, val open: Set<TargetId>)
+
+    /** Returns the cold ones among the [targets] of [pool] at [now]. */
+    fun select(targets: List<KnownTarget>, pool: PoolName, now: Timestamp): Selection {
+        val profile = profileOf(pool) ?: return NONE
         val coldTargets = directory.use { known ->
             targets.filter { target ->
                 val evacuationEnd = known.evacuations.endOrNull(target)
                 ColdPeriod.endOrNull(target, profile, evacuationEnd, now) != null
             }
         }
-        val mayOwn = ownsFrom.hasPassed(now) && !fleet.use { it.mayBeCutOff(now) }
+        val mayOwn = coldTargets.isNotEmpty() && ownsFrom.hasPassed(now) &&
+            !fleet.use { it.mayBeCutOff(expectsPeers(), now) }
         return state.use { known ->
             recordCold(known, targets, coldTargets)
-            coldTargets.filterNot { target ->
+            val (open, held) = coldTargets.partition { target ->
                 mayOwn && isOwned(known, target) && known.limit.allows(target.id, profile, now)
-            }.mapTo(HashSet()) { it.id }
+            }
+            Selection(held.mapTo(HashSet()) { it.id }, open.mapTo(HashSet()) { it.id })
         }
     }
 
@@ -103,4 +119,8 @@
             known.owned.remove(it)
         }
     }
+
+    private companion object {
+        val NONE = Selection(emptySet(), emptySet())
+    }
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -92,6 +92,7 @@
         directory,
         fleet,
         { pool -> storeCache.tables?.poolOrNull(pool)?.cold },
+        { seeds.any { it != peerAddress(settings.ip) } },
         clock().deadlineAfter(MEMBERSHIP_MILLISECONDS),
         log,
         metrics,
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -158,10 +158,11 @@
 
     /** Returns the number of requests of each pool that wait and can meet their goal, if any. */
     fun waiting(): List<PoolWaiting> = pools.mapShards { shard ->
-        shard.filterValues { it.waitingInTime > 0 }
-            .map { (name, state) ->
-                PoolWaiting(name, state.waitingInTime, state.waitingByPriority(clock()))
-            }
+        shard.mapNotNull { (name, state) ->
+            val byPriority = state.waitingByPriority(clock())
+            PoolWaiting(name, state.waitingInTime, byPriority)
+                .takeIf { it.waiting > 0 || byPriority.any { count -> count > 0 } }
+        }
     }.flatten()
 
     /** Returns the durations of the passes of [ranks], a group of [pool], or null when unknown. */
@@ -191,7 +192,7 @@
         val recovering =
             directory.use { known -> targets.filter { known.isRecovering(it, now) } }.toSet()
         val home = homeTargets()
-        val held = coldTargets.heldAmong(targets, pool, now)
+        val cold = coldTargets.select(targets, pool, now)
         return fleet.use { view ->
             targets.map { target ->
                 val ownGap = state.outcomes.gapOrNull(target.id, now)
@@ -209,10 +210,11 @@
                     },
                     state.outcomes.isAvoided(target.id, now),
                     target.dataCentre == ownDataCentre,
-                    target.id in home,
+                    // No other entry sends to a cold target that this one owns.
+                    target.id in home || target.id in cold.open,
                     state.running(target.id),
                     target in recovering,
-                    target.id in held,
+                    target.id in cold.held,
                 )
             }
         }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -98,7 +98,7 @@
 
     /** Those of each priority from 0 on; empty while all requests have one priority. */
     fun waitingByPriority(now: Timestamp): List<Int> =
-        if (priorities.isMixed(now)) queues.sizesInTime else emptyList()
+        if (priorities.isMixed(now)) queues.sizes else emptyList()
 
     /** Targets that run requests of this entry. */
     val inUse: Set<TargetId> get() = running.keys
@@ -141,7 +141,8 @@
         return decision.flatMap { waitDeadline ->
             waiter.waitDeadline = waitDeadline
             queues.offer(waiter).map {
-                if (isMixed) refuseOutpaced(waiter, now)
+                // During a pause no target is usable, and requests wait for its end.
+                if (isMixed && pauseEnd == null) refuseOutpaced(waiter, now)
                 waitDeadline
             }
         }
@@ -149,6 +150,8 @@
 
     /** Returns the number of requests that wait here and get a slot before [waiter]. */
     private fun waitingBefore(waiter: Waiter, isMixed: Boolean): Int = when {
+        isMixed && waiter.isContinued -> queues.sizeContinued
+
         isMixed -> queues.sizeFrom(waiter.request.priority, waiter.isLate)
 
         waiter.isLate -> waiting
@@ -163,19 +166,24 @@
      * in vain.
      */
     private fun refuseOutpaced(arrived: Waiter, now: Timestamp) {
+        val all = candidates(this, now)
         val lessUrgent = PriorityMix.levelOf(arrived.request.priority) + 1
         for (priority in PriorityMix.LEAST_URGENT downTo lessUrgent) {
             var oldest = queues.oldestOrNull(priority)
-            while (oldest != null && refuseIfOutpaced(oldest, now)) {
+            while (oldest != null && refuseIfOutpaced(oldest, all, now)) {
                 oldest = queues.oldestOrNull(priority)
             }
         }
     }
 
     /** Refuses [waiter], the last in its priority, if too many come before it. */
-    private fun refuseIfOutpaced(waiter: Waiter, now: Timestamp): Boolean {
+    private fun refuseIfOutpaced(
+        waiter: Waiter,
+        all: List<PlacementCandidate>,
+        now: Timestamp,
+    ): Boolean {
         val others = queues.sizeFrom(waiter.request.priority, withLate = true) - 1
-        val backlog = backlogOf(waiter, others, now)
+        val backlog = backlogOf(waiter, others, all)
         val wait = backlog.waitMillisecondsOrNull
         if (wait != null && wait <= waiter.waitDeadline.millisecondsLeft(now)) return false
         queues.remove(waiter)
@@ -201,8 +209,13 @@
     fun fill(now: Timestamp) {
         while (true) {
             // A request stays at the head until there is a slot for it.
-            val next = queues.peekOrNull(now, firstAnswerMilliseconds(now)) ?: return
-            val slot = assignOrNull(next, candidates(this, now), now) ?: return
+            var next = queues.peekOrNull(now, firstAnswerMilliseconds(now)) ?: return
+            var slot = assignOrNull(next, candidates(this, now), now)
+            if (slot == null) {
+                // A more urgent request may use slots that are not for this one.
+                next = queues.moreUrgentOrNull(now, firstAnswerMilliseconds(now)) ?: return
+                slot = assignOrNull(next, candidates(this, now), now) ?: return
+            }
             queues.removeHead()
             next.slot.complete(slot)
         }
@@ -293,34 +306,26 @@
             priorities.isMostUrgent(priority, now) ->
                 if (waiter.isLate) Urgency.NORMAL else Urgency.URGENT
 
-            moreUrgentAtPeers(priority) > 0 -> Urgency.NORMAL
-
-            waiter.isLate -> Urgency.LATE
+            isPressed && moreUrgentAtPeers(priority) == 0 -> Urgency.YIELDING
 
-            isPressed -> Urgency.YIELDING
-
-            else -> Urgency.NORMAL
+            else -> Urgency.BACKGROUND
         }
     }
 
     private fun backlog(waiter: Waiter, isMixed: Boolean, now: Timestamp): PoolBacklog {
         val before = waitingBefore(waiter, isMixed)
-        return if (isMixed) {
-            backlogOf(waiter, before, now)
-        } else {
-            backlogOf(waiter, before, now, PriorityMix.LEAST_URGENT)
-        }
+        val priority = if (isMixed) waiter.request.priority else PriorityMix.LEAST_URGENT
+        return backlogOf(waiter, before, candidates(this, now), priority)
     }
 
     /** Returns the load of the pool for [waiter] with [before] requests before it here. */
     private fun backlogOf(
         waiter: Waiter,
         before: Int,
-        now: Timestamp,
+        all: List<PlacementCandidate>,
         priority: Int = waiter.request.priority,
     ): PoolBacklog {
         val request = waiter.request
-        val all = candidates(this, now)
         val slots = placement.slots(all, request.pool.engine, request.route.gapGoalMilliseconds)
         return PoolBacklog(
             before + requestsWaitingAtPeers(PriorityMix.levelOf(priority)),
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/RequestQueues.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/RequestQueues.kt
@@ -14,7 +14,8 @@
  *
  * Interrupted streams come first. Among the others, a more urgent request comes before a less
  * urgent one, and one that can meet its goal before a late one of the same priority. So that no
- * priority starves, a request that could go next is passed over [MAX_PASSED_OVER] times at most.
+ * priority starves, a priority with requests in time is passed over about [MAX_PASSED_OVER] times
+ * in a row at most.
  */
 internal class RequestQueues {
     /**
@@ -49,9 +50,15 @@
     val waiters: List<Waiter>
         get() = continued.keys + fresh.keys + late.keys + listOfNotNull(head)
 
-    /** Number of requests of each priority that wait and can meet their goal, from 0 on. */
-    val sizesInTime: List<Int>
-        get() = List(PriorityMix.PRIORITIES) { sizeAt(it, withLate = false) }
+    /** Number of interrupted streams that wait. */
+    val sizeContinued: Int
+        get() = continued.size + if (head?.isContinued == true) 1 else 0
+
+    /** Number of waiting requests of each priority from 0 on; interrupted streams count as 0. */
+    val sizes: List<Int>
+        get() = List(PriorityMix.PRIORITIES) { level ->
+            sizeAt(level, withLate = true) + if (level == 0) sizeContinued else 0
+        }
 
     /**
      * Returns the number of waiting requests that are at least as urgent as [priority]. Late ones
@@ -59,7 +66,7 @@
      */
     fun sizeFrom(priority: Int, withLate: Boolean): Int {
         val level = PriorityMix.levelOf(priority)
-        return continued.size + (0 until level).sumOf { sizeAt(it, withLate = true) } +
+        return sizeContinued + (0 until level).sumOf { sizeAt(it, withLate = true) } +
             sizeAt(level, withLate)
     }
 
@@ -69,7 +76,7 @@
         return (late.oldestOrNull(queued) ?: fresh.oldestOrNull(queued))?.key
     }
 
-    /** Adds [waiter], or returns the refusal of it or null if a request was displaced instead. */
+    /** Adds [waiter], or returns its refusal if the queue is full. */
     fun offer(waiter: Waiter): Either<Refusal, Unit> {
         // The head goes back to its queue, where newer requests come first.
         head?.let { earlier -> enqueue(earlier).onLeft { earlier.slot.complete(null) } }
@@ -85,7 +92,24 @@
     fun peekOrNull(now: Timestamp, firstAnswerMilliseconds: Long): Waiter? =
         (head ?: nextOrNull(now, firstAnswerMilliseconds)).also { head = it }
 
-    /** Removes the request that [peekOrNull] returned. */
+    /**
+     * Puts the request that [peekOrNull] returned back and returns one that is more urgent, without
+     * removing it, or null if there is none.
+     */
+    fun moreUrgentOrNull(now: Timestamp, firstAnswerMilliseconds: Long): Waiter? {
+        val current = head?.takeUnless { it.isContinued } ?: return null
+        val highest =
+            maxOf(fresh.highestPriorityOrNull ?: NONE, late.highestPriorityOrNull ?: NONE)
+        if (highest <= queuedPriority(current)) return null
+        head = null
+        enqueue(current).onLeft { current.slot.complete(null) }
+        return peekOrNull(now, firstAnswerMilliseconds)?.takeIf { it !== current }
+    }
+
+    private fun queuedPriority(waiter: Waiter): Int =
+        PriorityMix.LEAST_URGENT - PriorityMix.levelOf(waiter.request.priority)
+
+    /** Removes the request that [peekOrNull] or [moreUrgentOrNull] returned. */
     fun removeHead() {
         head = null
     }
@@ -119,7 +143,7 @@
         QueuedRequest(
             waiter,
             waiter.request.workspace?.id ?: NO_WORKSPACE,
-            PriorityMix.LEAST_URGENT - PriorityMix.levelOf(waiter.request.priority),
+            queuedPriority(waiter),
             deadline,
         ),
     ).map { displaced ->
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/ColdFleetTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/ColdFleetTest.kt
@@ -23,6 +23,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
 
 /**
  * Guards against cold targets that crash because all entries together send them too much. All 24
@@ -58,6 +59,7 @@
             directory,
             view,
             { ColdProfile(COLD_MILLISECONDS, 14.0) },
+            { true },
             at(ownsFrom).deadlineAfter(0),
             GatewayLog(vm, EventLog({}, {}), { at(0) }),
             GatewayMetrics(SystemCounters()),
@@ -76,11 +78,11 @@
             view.use { it.expire(at(now)) }
             if (now % UPDATE_MILLISECONDS == 0L) {
                 val live = view.use { known -> known.live.map { it.heartbeat.vm } } + vm
-                cold.updateEntries(live.sortedBy { it.text }.map { candidate(it) })
+                cold.updateEntries(live.map { candidate(it) })
             }
-            val held = cold.heldAmong(targets, pool, at(now))
-            return targets.filter { it.id !in held }.onEach { cold.recordSend(it, at(now)) }
-                .map { it.id }
+            val open = cold.select(targets, pool, at(now)).open
+            targets.filter { it.id in open }.forEach { cold.recordSend(it, at(now)) }
+            return open.toList()
         }
 
         private fun candidate(vm: VmId) = AddressCandidate(vm, north, true)
@@ -153,16 +155,24 @@
     }
 
     @Test
-    fun `two halves of a fleet stay within the bound together`() {
-        val sends = play { to, from, now -> now < 2_000 || to < 12 == from < 12 }
+    fun `two parts of a fleet stay within the bound together`() {
+        val sends = play { to, from, now -> now < 2_000 || to < 13 == from < 13 }
         expectThat(mostInOneSecond(sends)).isLessThanOrEqualTo(BOUND)
+        expectThat(sends.values.flatten().count { it > 4_000 }).isGreaterThan(0)
     }
 
     @Test
     fun `entries that have just started send nothing before they know their peers`() {
         // No entry hears another, as in the first moment of a fleet that starts.
-        val sends = play(ownsFrom = COLD_MILLISECONDS) { _, _, _ -> false }
-        expectThat(sends.keys).isEmpty()
+        expectThat(play(ownsFrom = 2_000) { _, _, _ -> false }.keys).isEmpty()
+    }
+
+    @Test
+    fun `an entry that has been cut off for a minute still sends nothing`() {
+        val view = FleetView(VmId.parse("vm-0"))
+        view.receive(SimulatedEntry(1, 0).heartbeat(), at(0))
+        view.expire(at(5_000))
+        expectThat(view.mayBeCutOff(expectsPeers = false, at(120_000))).isTrue()
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/PriorityLoadTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/PriorityLoadTest.kt
@@ -30,6 +30,7 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
 
 /**
@@ -191,6 +192,34 @@
         expectThat(beside).isLessThan(alone)
     }
 
+    @Test
+    fun `less urgent requests leave room while the present skew limits a group`() {
+        val gap = 100.0
+        val alone = placedOfPriority2(state(gap))
+        val beside = placedOfPriority2(state(gap, moreUrgentAtPeers = { if (it > 0) 5 else 0 }))
+        expectThat(beside).isLessThanOrEqualTo(alone)
+    }
+
+    @Test
+    fun `requests that wait for the end of a pause stay when more urgent ones join them`() {
+        val paused = PoolState(Random(7), { _, _ -> emptyList() }, { 0 }, { 0 })
+        val pauseEnd = at(0).deadlineAfter(300)
+        val patient = waiter(2, now = 0).also { paused.admit(it, at(0), pauseEnd) }
+        repeat(3) { paused.admit(waiter(0, now = 0), at(0), pauseEnd) }
+        expectThat(patient.slot.isCompleted).isFalse()
+    }
+
+    @Test
+    fun `peers are told of urgent requests that are late`() {
+        val state = state(gap = 200.0)
+        state.outcomes.recordGap(ranks[0].id, 200, at(0))
+        state.admit(waiter(2, now = 0), at(0))
+        fillUp(state, now = 0)
+        state.admit(waiter(0, now = 0), at(0))
+        expectThat(state.waitingInTime).isEqualTo(0)
+        expectThat(state.waitingByPriority(at(0)).first()).isEqualTo(1)
+    }
+
     private fun placedOfPriority2(state: PoolState): Int {
         state.admit(waiter(0, now = 0), at(0))
         val waiters = List(RANKS * engine.slots) { waiter(2, now = 0) }
