Compare the load test of priorities with one priority for all

Cause: the test showed what each priority gets, not what it would get without an order. Change: PriorityLoadTest plays the same load with one priority for all kinds.

--- a/gateway/src/test/kotlin/org/vanilladale/gateway/PriorityLoadTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/PriorityLoadTest.kt
@@ -80,16 +80,22 @@
     )
 
     private val routes = listOf(route(0, 403), route(1, 403), route(2, 803))
+
+    /** The same kinds of request, all of one priority. */
+    private val unorderedRoutes = routes.map { it.copy(priority = 1) }
     private var ids = 0
 
-    private fun waiter(priority: Int, now: Long, goal: Long? = null) = Waiter(
+    private fun waiter(priority: Int, now: Long, goal: Long? = null) =
+        waiter(goal?.let { route(priority, it) } ?: routes[priority], now)
+
+    private fun waiter(route: GatewayRoute, now: Long) = Waiter(
         ForwardedRequest(
             CallerHead(CallerRequestId.parseOrNull("r${ids++}")!!, "h", "/", null, null, null),
             HttpMethod.POST,
             "/",
             MultiMap.caseInsensitiveMultiMap(),
             Buffer.buffer(),
-            goal?.let { route(priority, it) } ?: routes[priority],
+            route,
             pool,
             null,
             Revision(1),
@@ -104,7 +110,12 @@
      * Simulates 12 s in which each priority has an arrival every so many ms as [gaps] tell, with a
      * burst of priority 2 from 4 s to 8 s, one every [burstGap] ms.
      */
-    private fun simulate(state: PoolState, gaps: List<Long>, burstGap: Long): List<Served> {
+    private fun simulate(
+        state: PoolState,
+        gaps: List<Long>,
+        burstGap: Long,
+        routes: List<GatewayRoute> = this.routes,
+    ): List<Served> {
         val served = List(gaps.size) { Served() }
         val open = ArrayList<Waiter>()
         val ends = PriorityQueue<Pair<Long, TargetId>>(compareBy { it.first })
@@ -117,7 +128,7 @@
                 val isBurst = priority == gaps.lastIndex && now in 4_000L..8_000L
                 if (now % (if (isBurst) burstGap else usual) != 0L) return@forEachIndexed
                 served[priority].arrived++
-                val waiter = waiter(priority, now)
+                val waiter = waiter(routes[priority], now)
                 state.admit(waiter, at(now)).onRight { open += waiter }
             }
             open.removeAll { waiter ->
@@ -141,7 +152,7 @@
     ) {
         val slot = waiter.slot.getCompleted() ?: return
         ends += now + SERVICE_MILLISECONDS to slot.target.id
-        val kind = served[waiter.request.priority]
+        val kind = served[routes.indexOfFirst { it.name == waiter.request.route.name }]
         kind.placed++
         val waited = at(now).millisecondsSince(waiter.request.arrivedAt)
         if (waited + FIRST_EVENT_MILLISECONDS <= waiter.request.route.goalMilliseconds) {
@@ -154,6 +165,10 @@
         val served = simulate(state(), listOf(60L, 40L, 60L), burstGap = 5L)
         val shares = served.map { it.placed.toDouble() / it.arrived }
         println("priority: placed $shares, in time ${served.map { it.inTime }}")
+        val alike = simulate(state(), listOf(60L, 40L, 60L), burstGap = 5L, unorderedRoutes)
+        println("one priority: placed ${alike.map { it.placed.toDouble() / it.arrived }}")
+        println("one priority: in time ${alike.map { it.inTime }}")
+        expectThat(served[0].inTime).isGreaterThan(alike[0].inTime)
         expectThat(served[0].inTime.toDouble() / served[0].arrived)
             .isGreaterThanOrEqualTo(WANTED_SHARE)
         expectThat(shares[0]).isGreaterThan(shares[2])
@@ -165,6 +180,9 @@
         val served = simulate(state(), listOf(25L, 25L, 25L), burstGap = 25L)
         val shares = served.map { it.placed.toDouble() / it.arrived }
         println("priority: placed $shares under overload")
+        val alike = simulate(state(), listOf(25L, 25L, 25L), burstGap = 25L, unorderedRoutes)
+        println("one priority: placed ${alike.map { it.placed.toDouble() / it.arrived }}, overload")
+        expectThat(served[0].inTime).isGreaterThan(alike[0].inTime)
         expectThat(shares[0]).isGreaterThan(shares[2])
         expectThat(served[2].placed).isGreaterThan(0)
     }
