--- a/core/src/main/kotlin/org/vanilladale/core/gateway/Evacuations.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/Evacuations.kt
@@ -9,8 +9,8 @@
  * callers synchronize access.
  *
  * An evacuation stays in force until the store shows that the operator has cancelled it, also while
- * the store can't be read. If the store is restored from an older copy that lacks the evacuation, it
- * stays in force until a change cancels it, or for [HOLD_MILLISECONDS] without one.
+ * the store can't be read. If the store is restored from an older copy that lacks the evacuation,
+ * it stays in force until a change cancels it, or for [HOLD_MILLISECONDS] without one.
  */
 public class Evacuations {
     private val active = LinkedHashSet<DataCentreName>()
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
@@ -6,6 +6,7 @@
 import org.vanilladale.schema.PoolName
 import org.vanilladale.schema.Revision
 import org.vanilladale.schema.SocketAddressText
+import org.vanilladale.schema.StoreEra
 import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.Timestamp
 import org.vanilladale.schema.VmId
@@ -44,6 +45,10 @@
     public val highestTablesRevision: Revision?
         get() = peers.values.mapNotNull { it.heartbeat.tablesRevision }.maxOrNull()
 
+    /** Highest era of the store that a live peer knows, or null if none knows any. */
+    public val highestStoreEra: StoreEra?
+        get() = peers.values.mapNotNull { it.heartbeat.storeEra }.maxOrNull()
+
     /**
      * Records a heartbeat of a peer.
      *
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -25,6 +25,7 @@
 import org.vanilladale.core.gateway.GatewayTables
 import org.vanilladale.core.gateway.HomeTargets
 import org.vanilladale.core.gateway.PeerEntry
+import org.vanilladale.core.gateway.StorePosition
 import org.vanilladale.core.gateway.TargetDirectory
 import org.vanilladale.core.membership.entryIncarnation
 import org.vanilladale.core.shard.Locked
@@ -36,6 +37,7 @@
 import org.vanilladale.schema.EntryPhase
 import org.vanilladale.schema.GatewaySettings
 import org.vanilladale.schema.SocketAddressText
+import org.vanilladale.schema.StoreEra
 import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.VmId
 
@@ -84,9 +86,13 @@
     private val sequence = AtomicLong()
     private val directory = Locked(TargetDirectory())
     private val fleet = Locked(FleetView(settings.vm))
+
+    /** Latest era of a peer for which the store was queried. */
+    @Volatile
+    private var queriedEra: StoreEra? = null
     private val storeCache = StoreCache(directory, log, clock, ::targetsChanged)
     private val storeWatcher =
-        StoreWatcher(builder.store(vertx), storeCache, log, metrics, clock, random)
+        StoreWatcher(builder.store(vertx), storeCache, log, metrics, clock, random, ::peerEra)
     private val coldTargets = ColdTargets(
         settings.vm,
         directory,
@@ -353,6 +359,7 @@
         peers,
         interval,
         suspects.reports(),
+        storeCache.era,
     )
 
     private fun expertRole(): ExpertRole = if (isReady) {
@@ -363,7 +370,21 @@
 
     private fun peerUpdated() {
         dispatcher.retryWaiting()
-        if (storeCache.tables?.let(::isOutdated) == true) storeWatcher.refresh()
+        val isEraNew = isNewPeerEra()
+        if (isEraNew || storeCache.tables?.let(::isOutdated) == true) storeWatcher.refresh()
+    }
+
+    private fun peerEra() = fleet.use { it.highestStoreEra }
+
+    /**
+     * Returns whether a live peer knows a later era of the store, once for each era. The watcher
+     * itself repeats calls that a store of an earlier era answers.
+     */
+    private fun isNewPeerEra(): Boolean {
+        val era = peerEra()
+        val isNew = StorePosition.isNewer(era, storeCache.era) && era != queriedEra
+        if (isNew) queriedEra = era
+        return isNew
     }
 
     /** Returns whether a live peer has a newer configuration than [tables]. */
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/StoreCache.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/StoreCache.kt
@@ -81,9 +81,27 @@
     /** Applies changes. Removals take effect at [graceUntil] if that is in the future. */
     fun apply(changes: StoreReadResult.Changes, graceUntil: Deadline) {
         changes.tables?.let(::activate)
+        val gone = applyTargets(changes, graceUntil)
+        raisePosition(changes.era, changes.targetsRevision)
+        changes.evacuations.forEach { applyEvacuation(it, changes.position) }
+        val released = directory.use { it.evacuations.endHeld(clock()) }
+        released.forEach { logEvacuation(it, "ended", changes.position) }
+        val isChanged =
+            changes.targets.isNotEmpty() || changes.evacuations.isNotEmpty() ||
+                released.isNotEmpty()
+        if (isChanged) onChange(gone)
+    }
+
+    /** Applies the changes of targets and returns the targets that were removed. */
+    private fun applyTargets(
+        changes: StoreReadResult.Changes,
+        graceUntil: Deadline,
+    ): List<TargetId> {
         val gone = ArrayList<TargetId>(0)
         changes.targets.forEach { (id, record) ->
-            val target = record?.let { directory.use { known -> known.acknowledgedOrNull(it, null) } }
+            val target = record?.let {
+                directory.use { known -> known.acknowledgedOrNull(it, null) }
+            }
             if (record != null && target == null) return@forEach
             directory.use { known ->
                 when {
@@ -95,13 +113,7 @@
             if (target == null) gone += id
             logTargetChange(id, target, changes.position)
         }
-        raisePosition(changes.era, changes.targetsRevision)
-        changes.evacuations.forEach { applyEvacuation(it, changes.position) }
-        val released = directory.use { it.evacuations.endHeld(clock()) }
-        released.forEach { logEvacuation(it, "ended", changes.position) }
-        val isChanged =
-            changes.targets.isNotEmpty() || changes.evacuations.isNotEmpty() || released.isNotEmpty()
-        if (isChanged) onChange(gone)
+        return gone
     }
 
     private fun applyEvacuation(change: EvacuationChange, position: Revision) {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/StoreWatcher.kt
@@ -21,8 +21,8 @@
  * failure, calls that do not wait for changes overlap until one is answered; see
  * [OverlappingCalls].
  *
- * After a restore of the store, revisions of the old era mean nothing in the new one. An answer of a
- * new era to a watch is therefore replaced by a whole read, and an answer of an old era counts as
+ * After a restore of the store, revisions of the old era mean nothing in the new one. An answer of
+ * a new era to a watch is therefore replaced by a whole read, and an answer of an old era counts as
  * failed.
  *
  * @param peerEra returns the highest era that a live peer knows
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/RestorableStore.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/RestorableStore.kt
@@ -12,7 +12,11 @@
     StorePort {
     private class Record(val target: KnownTarget, val revision: Revision)
 
-    private class Event(val revision: Revision, val target: TargetChange?, val zone: EvacuationChange?)
+    private class Event(
+        val revision: Revision,
+        val target: TargetChange?,
+        val zone: EvacuationChange?,
+    )
 
     /** What the store holds; a copy is an older instance. */
     class Content private constructor(
@@ -32,8 +36,12 @@
             events + Event(next, TargetChange(target.id, target), null),
         )
 
-        fun without(id: TargetId) =
-            Content(next, records - id, evacuated, events + Event(next, TargetChange(id, null), null))
+        fun without(id: TargetId) = Content(
+            next,
+            records - id,
+            evacuated,
+            events + Event(next, TargetChange(id, null), null),
+        )
 
         fun evacuating(zone: DataCentreName, isEvacuated: Boolean) = Content(
             next,
@@ -92,4 +100,3 @@
         return content.changesAfter(position, era)
     }
 }
-
