Give late urgent requests the room of urgent ones

While the first event takes longer than the goal, urgent requests are late on arrival; they got the limit without the reserve, less than a less urgent request in time.

Change: the most urgent requests may use the reserve also when they are late.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -287,8 +287,8 @@
      * reserve for a shift of the demand, because the next shift may be far away.
      *
      * While requests of several priorities compete, the most urgent ones may use that reserve at
-     * once, and the others leave part of it to them. While more urgent requests wait at peers, the
-     * others may not use the reserve at all.
+     * once, also when they are late, and the others leave part of it to them. While more urgent
+     * requests wait at peers, the others may not use the reserve at all.
      */
     private fun urgencyOf(waiter: Waiter, now: Timestamp): Urgency {
         val urgentFrom = waiter.request.arrivedAt.deadlineAfter(URGENT_AFTER_MILLISECONDS)
@@ -303,8 +303,7 @@
                 else -> Urgency.NORMAL
             }
 
-            priorities.isMostUrgent(priority, now) ->
-                if (waiter.isLate) Urgency.NORMAL else Urgency.URGENT
+            priorities.isMostUrgent(priority, now) -> Urgency.URGENT
 
             isPressed && moreUrgentAtPeers(priority) == 0 -> Urgency.YIELDING
 
--- a/gateway/src/test/kotlin/org/vanilladale/gateway/PriorityLoadTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/PriorityLoadTest.kt
@@ -203,6 +203,17 @@
         expectThat(patient.slot.isCompleted).isFalse()
     }
 
+    @Test
+    fun `a late urgent request finds room beside less urgent ones that can be in time`() {
+        val state = state(gap = 100.0)
+        // The first event takes 2.4 of these passes, longer than the goal of 403 ms.
+        state.outcomes.recordGap(ranks[0].id, 170, at(0))
+        placedOfPriority2(state)
+        val urgent = waiter(0, now = 0).also { state.admit(it, at(0)) }
+        expectThat(urgent.isLate).isTrue()
+        expectThat(urgent.slot.isCompleted).isTrue()
+    }
+
     @Test
     fun `less urgent requests leave room while more urgent ones wait at peers`() {
         val alone = placedOfPriority2(state())
