Fail answers without a length whose connection is reset during the request

Seen by callers: a replica answered a long upload at once with status 200 and no length, sent a part of its body and reset the connection while the upload was still being written. The caller received the part as the whole answer.

Cause: an answer without a length ends with its connection. A read that meets the reset reports an error. A write that meets it makes Netty close the channel without one, and the HTTP codec then completes the answer. Two more orders of events hid the reset: Netty closes the channel at the end of the input, so a reset after that was never seen; and the kernel took up to some MB of the request, so no write was left to fail.

Change: connections get a handler before the codec. It keeps the connection half open at the end of the input until the request is written, and reports an error before the channel becomes inactive unless the server ended the connection in order.

Answers that end in order, early ones too, and answers with a length stay whole.

Not covered: a reset that follows an end in order when the kernel has taken the whole request, as it does below a few hundred KB.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/TargetExchange.kt
@@ -15,6 +15,7 @@
 import java.io.IOException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
+import org.vanilladale.runtime.createCheckedHttpClient
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.SocketAddressText
 
@@ -99,7 +100,8 @@
         private const val MAX_CONNECTIONS = 256
 
         /** Creates a client for [connectOrNull]. */
-        fun createClient(vertx: Vertx): HttpClient = vertx.createHttpClient(
+        fun createClient(vertx: Vertx): HttpClient = createCheckedHttpClient(
+            vertx,
             HttpClientOptions()
                 .setKeepAlive(false)
                 .setDecompressionSupported(false)
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
@@ -1,6 +1,7 @@
 package org.vanilladale.systemtests
 
 import io.vertx.core.Vertx
+import io.vertx.core.net.NetServerOptions
 import java.util.concurrent.Executor
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -12,6 +13,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import org.vanilladale.agent.PlainServiceCaller
 import org.vanilladale.agent.TargetOutcome
 import org.vanilladale.schema.Attempt
@@ -24,9 +27,13 @@
 import org.vanilladale.standins.PlainService
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 
-/** Guards against a lost answer of a plain service when the calling coroutine resumes late. */
+/**
+ * Guards against a lost answer of a plain service when the calling coroutine resumes late, and
+ * against a part of an answer that counts as the whole one.
+ */
 class PlainServiceCallerTest {
     private val vertx = Vertx.vertx()
     private val scheduler = Executors.newSingleThreadScheduledExecutor()
@@ -37,7 +44,7 @@
         scheduler.shutdownNow()
     }
 
-    private fun submit(key: String) = Submit(
+    private fun submit(key: String, body: ByteArray = ByteArray(0)) = Submit(
         request = RequestId(1),
         attempt = Attempt(1),
         workspace = WorkspaceId.parse("workspace-1"),
@@ -48,7 +55,7 @@
         priority = 5,
         deadline = Deadline.fromEpochMilliseconds(Long.MAX_VALUE),
         offset = 0,
-        body = ByteArray(0),
+        body = body,
     )
 
     @Test
@@ -84,7 +91,29 @@
             .isEqualTo(mapOf(TargetOutcome.Completed to CALLERS * CALLS))
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = [1_000, 1 shl 20, 16 shl 20])
+    fun `an answer that is reset during the request is broken`(bodyBytes: Int) {
+        val server = vertx.createNetServer(NetServerOptions().setSoLinger(0))
+            .connectHandler { socket ->
+                socket.handler {
+                    socket.pause()
+                    socket.write("HTTP/1.1 200 OK\r\n\r\na part")
+                    vertx.setTimer(RESET_MILLISECONDS) { socket.close() }
+                }
+            }
+            .listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get()
+        val url = "http://127.0.0.1:${server.actualPort()}"
+        val call = PlainServiceCaller(vertx, url, 1).caller
+        val outcome = runBlocking {
+            withTimeoutOrNull(5_000) { call(submit("key", ByteArray(bodyBytes)), { null }) {} }
+        }
+        expectThat(outcome).isA<TargetOutcome.Broken>()
+    }
+
     private companion object {
+        /** Lets the caller read the part first. */
+        const val RESET_MILLISECONDS = 100L
         const val CALLERS = 8
         const val CALLS = 2_000
     }
