Fail responses with a malformed field name in their head

Seen by callers: a replica in trouble sent an answer in whose head the name of a field held a blank or a tab, stood before a blank and the colon, or began with a blank. The caller received it as an answer, with the field under a shortened name, with a signature that the line was appended to, or with a body cut to a length that was none. "Not executed" in such an answer was passed on as a promise.

Cause: in responses, Netty ends a name at the first blank, ignores what follows up to the colon and appends a line that begins with a blank to the value before it. After that nothing tells the field from a sound one.

Change: the checked client reads the bytes of each head before the codec does and fails a response in which a name is no token (RFC 9110, section 5.1). All clients of the product that use answers are checked: those to targets, ranks and the store, and now those to engines, plain services and the platform.

--- a/agent/src/main/kotlin/org/vanilladale/agent/CacheEventReader.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/CacheEventReader.kt
@@ -5,6 +5,7 @@
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
+import org.vanilladale.runtime.createCheckedHttpClient
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.CacheEvent
 import org.vanilladale.schema.CacheEvents
@@ -19,7 +20,7 @@
     private val target: TargetId,
     private val publish: (CacheEvents) -> Unit,
 ) {
-    private val client = WebClient.create(vertx)
+    private val client = WebClient.wrap(createCheckedHttpClient(vertx))
     private var last = 0L
 
     /** Reads until the calling coroutine is cancelled. */
--- a/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/ModelEngineCaller.kt
@@ -13,12 +13,14 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.withContext
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.runtime.createCheckedHttpClient
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.Submit
 
 /** Calls a model engine and streams its answer. */
 public class ModelEngineCaller(vertx: Vertx, private val engineUrl: String, connections: Int) {
-    private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(connections))
+    private val client =
+        createCheckedHttpClient(vertx, pool = PoolOptions().setHttp1MaxSize(connections))
 
     // All connections to the engine and the coroutines that read them share one event loop, so that
     // a token needs no change of threads.
--- a/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/PlainServiceCaller.kt
@@ -9,12 +9,14 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.withContext
 import org.vanilladale.core.refusal.RefusalReason
+import org.vanilladale.runtime.createCheckedHttpClient
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.Submit
 
 /** Calls a plain service once and passes its whole answer on. */
 public class PlainServiceCaller(vertx: Vertx, private val serviceUrl: String, connections: Int) {
-    private val client = vertx.createHttpClient(PoolOptions().setHttp1MaxSize(connections))
+    private val client =
+        createCheckedHttpClient(vertx, pool = PoolOptions().setHttp1MaxSize(connections))
 
     /** The function that the agent calls. */
     public val caller: TargetCaller = ::call
--- a/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/EngineMapClient.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rankgroup/EngineMapClient.kt
@@ -5,12 +5,12 @@
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import io.vertx.ext.web.client.WebClient
-import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
 import org.vanilladale.core.rankgroup.EngineCommand
 import org.vanilladale.core.rankgroup.EngineReadBack
 import org.vanilladale.core.rankgroup.FlatCopies
 import org.vanilladale.core.rankgroup.GroupMap
+import org.vanilladale.runtime.createCheckedHttpClient
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.ArmedMap
 import org.vanilladale.schema.Digest
@@ -37,10 +37,8 @@
  * later one.
  */
 internal class EngineMapClient(vertx: Vertx, private val engineUrl: String) {
-    private val client = WebClient.create(
-        vertx,
-        WebClientOptions(),
-        PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS),
+    private val client = WebClient.wrap(
+        createCheckedHttpClient(vertx, pool = PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)),
     )
 
     /** Reads the state of the engine, or returns null if the engine can't be reached. */
--- a/agent/src/main/kotlin/org/vanilladale/agent/rollout/EngineLoads.kt
+++ b/agent/src/main/kotlin/org/vanilladale/agent/rollout/EngineLoads.kt
@@ -13,6 +13,7 @@
 import org.vanilladale.core.rollout.LoadFailure
 import org.vanilladale.core.rollout.LoadRefusal
 import org.vanilladale.core.rollout.LoadResult
+import org.vanilladale.runtime.createCheckedHttpClient
 import org.vanilladale.runtime.runCatchingIo
 import org.vanilladale.schema.Adapter
 import org.vanilladale.schema.AdapterName
@@ -22,7 +23,7 @@
 
 /** Client of the API with which a model engine loads and unloads models and adapters. */
 internal class EngineLoads(vertx: Vertx, private val engineUrl: String) {
-    private val client = WebClient.create(vertx)
+    private val client = WebClient.wrap(createCheckedHttpClient(vertx))
 
     /**
      * Reads what the engine has loaded, or returns null if [READ_ATTEMPTS] reads in a row fail.
--- a/agent/src/test/kotlin/org/vanilladale/agent/rollout/EngineLoadsTest.kt
+++ b/agent/src/test/kotlin/org/vanilladale/agent/rollout/EngineLoadsTest.kt
@@ -50,16 +50,29 @@
         }
     }
 
+    private val command = LoadCommand(
+        LoadCommandKind.LOAD_MODEL,
+        "drafts",
+        ModelVersion.parse("v1"),
+        plan = 1,
+        fence = Revision(1),
+        validUntil = Deadline.fromEpochMilliseconds(Long.MAX_VALUE),
+    )
+
+    @Test
+    fun `a response with a malformed field does not complete a load`() = runBlocking<Unit> {
+        val server = vertx.createNetServer()
+            .connectHandler { socket ->
+                socket.handler { socket.write("HTTP/1.1 204 No Content\r\nX Odd: 1\r\n\r\n") }
+            }
+            .listen(0, "127.0.0.1")
+            .coAwait()
+        val result = EngineLoads(vertx, "http://127.0.0.1:${server.actualPort()}").send(command)
+        expectThat(result).isEqualTo(LoadResult.Failed(LoadFailure.ENGINE_UNREACHABLE))
+    }
+
     @Test
     fun `a retry time of another type is ignored in the response to a failed load`() {
-        val command = LoadCommand(
-            LoadCommandKind.LOAD_MODEL,
-            "drafts",
-            ModelVersion.parse("v1"),
-            plan = 1,
-            fence = Revision(1),
-            validUntil = Deadline.fromEpochMilliseconds(Long.MAX_VALUE),
-        )
         val result = withAnswer(500, """{"retryAt": "soon"}""") { it.send(command) }
         expectThat(result).isEqualTo(LoadResult.Failed(LoadFailure.fromCode(null), null))
     }
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/CheckedHttpClient.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/CheckedHttpClient.kt
@@ -16,7 +16,9 @@
 private const val SEND_BUFFER_BYTES = 128 shl 10
 
 /**
- * Creates an HTTP/1.1 client that does not take a part of a response for the whole one.
+ * Creates an HTTP/1.1 client that fails on broken responses which a client of Vert.x alone accepts.
+ *
+ * A response with a malformed field name in its head fails with an exception.
  *
  * A response without a length ends with its connection. Here it is complete only if the server
  * ended the connection in order, and otherwise fails with an exception. A client of Vert.x alone
@@ -38,5 +40,8 @@
 private fun checkResponses(connection: HttpConnection) {
     // Vert.x has no other access to the channel of a connection.
     val context = (connection as HttpClientConnectionInternal).channelHandlerContext()
-    context.pipeline().addFirst(ConnectionEndHandler())
+    val validator = ResponseHeadValidator()
+    context.pipeline()
+        .addFirst(ConnectionEndHandler(), validator)
+        .addBefore(context.name(), null, validator.requestListener)
 }
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/PlatformReader.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/PlatformReader.kt
@@ -16,7 +16,7 @@
     private val configurationServiceUrl: String,
     private val vmListUrl: String,
 ) {
-    private val client = WebClient.create(vertx)
+    private val client = WebClient.wrap(createCheckedHttpClient(vertx))
 
     /** Reads the tables; an answer is short when the service still holds [held]. */
     public suspend fun readTables(held: Revision?): ConfigurationRead {
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/ModelEngineCallerTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/ModelEngineCallerTest.kt
@@ -22,10 +22,14 @@
 import org.vanilladale.schema.Submit
 import org.vanilladale.schema.WorkspaceId
 import strikt.api.expectThat
+import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 
-/** Guards the agent's memory against an engine that is faster than the way to the caller. */
+/**
+ * Guards the agent's memory against an engine that is faster than the way to the caller, and its
+ * callers against answers with a malformed head.
+ */
 class ModelEngineCallerTest {
     private val vertx = Vertx.vertx()
     private val written = AtomicInteger()
@@ -95,6 +99,19 @@
         expectThat(length).isEqualTo(LINES * 1_000L)
     }
 
+    @Test
+    fun `an answer with a malformed field is broken`() {
+        val answer = """{"text":"piece"}""" + "\n" + """{"done":true}""" + "\n"
+        val head = "HTTP/1.1 200 OK\r\nContent-Length : ${answer.length}\r\n\r\n"
+        val port = vertx.createNetServer()
+            .connectHandler { socket -> socket.handler { socket.write(head + answer) } }
+            .listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture()
+            .get(10, TimeUnit.SECONDS).actualPort()
+        val call = ModelEngineCaller(vertx, "http://127.0.0.1:$port", 1).caller
+        val outcome = runBlocking { withTimeout(10_000) { call(submit, { null }) {} } }
+        expectThat(outcome).isA<TargetOutcome.Broken>()
+    }
+
     private companion object {
         const val LINES = 64_000
     }
--- a/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
+++ b/system-tests/src/test/kotlin/org/vanilladale/systemtests/PlainServiceCallerTest.kt
@@ -32,7 +32,7 @@
 
 /**
  * Guards against a lost answer of a plain service when the calling coroutine resumes late, and
- * against a part of an answer that counts as the whole one.
+ * against broken answers that count as whole ones.
  */
 class PlainServiceCallerTest {
     private val vertx = Vertx.vertx()
@@ -111,6 +111,19 @@
         expectThat(outcome).isA<TargetOutcome.Broken>()
     }
 
+    @Test
+    fun `an answer with a malformed field is broken`() {
+        val head = "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\n"
+        val server = vertx.createNetServer()
+            .connectHandler { socket -> socket.handler { socket.write(head + "answer") } }
+            .listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get()
+        val call = PlainServiceCaller(vertx, "http://127.0.0.1:${server.actualPort()}", 1).caller
+        val outcome = runBlocking {
+            withTimeoutOrNull(5_000) { call(submit("key"), { null }) {} }
+        }
+        expectThat(outcome).isA<TargetOutcome.Broken>()
+    }
+
     private companion object {
         /** Lets the caller read the part first. */
         const val RESET_MILLISECONDS = 100L
