End the target of TargetExchangeTest when its connection ends

Cause: the stand-in reads a head byte by byte and read on without end when the connection ended first. A scratch stand-in with the same loop kept eight processors busy for minutes.

Change: the end of the input within a head is an error. No check is changed.

--- a/gateway/src/test/kotlin/org/vanilladale/gateway/TargetExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/TargetExchangeTest.kt
@@ -78,7 +78,11 @@
     private fun readHead(target: Socket) {
         val input = target.getInputStream()
         var head = ""
-        while (!head.endsWith("\r\n\r\n")) head += input.read().toChar()
+        while (!head.endsWith("\r\n\r\n")) {
+            val byte = input.read()
+            check(byte >= 0) { "The connection ended within a head" }
+            head += byte.toChar()
+        }
     }
 
     private suspend fun expectBroken(exchange: TargetExchange) {
