Report a connection that ends without a response as closed, not as reset

Cause: the handler did not mark that end as one in order, so it reported an error.

Change: both ends in order are marked in one place.

Evidence: the case of TargetExchangeTest in which a target ends the connection without an answer now checks the reason.

--- a/gateway/src/test/kotlin/org/vanilladale/gateway/TargetExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/vanilladale/gateway/TargetExchangeTest.kt
@@ -153,7 +153,9 @@
                 exchange.send(MultiMap.caseInsensitiveMultiMap(), bodyOf(LONG_BODY))
                 target.use {
                     it.shutdownOutput()
-                    expectCatching { exchange.head() }.isFailure().isA<TargetExchangeException>()
+                    expectCatching { exchange.head() }.isFailure()
+                        .isA<TargetExchangeException>()
+                        .get { message }.isEqualTo("Connection was closed")
                 }
             }
         }
--- a/runtime/src/main/kotlin/org/vanilladale/runtime/ConnectionEndHandler.kt
+++ b/runtime/src/main/kotlin/org/vanilladale/runtime/ConnectionEndHandler.kt
@@ -38,7 +38,7 @@
         when (event) {
             // Without a response there is nothing that a reset could have cut.
             ChannelInputShutdownEvent.INSTANCE ->
-                if (hasInput) finishRequest(context) else context.close()
+                if (hasInput) finishRequest(context) else closeInOrder(context)
 
             // Only follows the event above, which the other handlers do not see either.
             ChannelInputShutdownReadComplete.INSTANCE -> Unit
@@ -47,6 +47,11 @@
         }
     }
 
+    private fun closeInOrder(context: ChannelHandlerContext) {
+        isEndedInOrder = !hasFailed
+        context.close()
+    }
+
     /** Closes the connection once the rest of the request is written, or can't be. */
     private fun finishRequest(context: ChannelHandlerContext) {
         val expiry = context.executor().schedule(
@@ -57,8 +62,7 @@
         // Buffers are written in order, so this one is done when all earlier ones are.
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { written ->
             expiry.cancel(false)
-            isEndedInOrder = written.isSuccess && !hasFailed
-            context.close()
+            if (written.isSuccess) closeInOrder(context) else context.close()
         }
     }
 
