--- a/review/harness-2/Kit.java
+++ b/review/harness-2/Kit.java
@@ -59,7 +59,7 @@
         }
     }
 
-    /** Returns the start of loopback addresses on which the ports of four entries are free. */
+    /** Returns the start of loopback addresses on which the ports of six entries are free. */
     private static String freeNetwork() throws IOException {
         Random random = new Random();
         for (int attempt = 0; attempt < 50; attempt++) {
@@ -70,7 +70,7 @@
     }
 
     private static boolean isFree(String network) {
-        for (int number = 1; number <= 4; number++) {
+        for (int number = 1; number <= 6; number++) {
             for (int port : new int[] {FRONT, READINESS, DIRECTORY, CONTROL, INTERNAL, METRICS}) {
                 try (ServerSocket probe =
                     new ServerSocket(port, 1, InetAddress.getByName(network + number))) {
