--- a/review/harness-2/IdleClose.java
+++ b/review/harness-2/IdleClose.java
@@ -2,7 +2,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 8: the operator gives a route a time-out above the idle time-out of the callers' channels. */
+/** Not a case: the operator gives a route a time-out above the idle time-out of the callers' channels. */
 final class IdleClose {
     private static final int CALLERS = 6;
     private static final int WORK_MILLIS = 18_000;
--- a/review/harness-2/LogStall.java
+++ b/review/harness-2/LogStall.java
@@ -2,7 +2,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 10: the reader of the log stops for a while, and a replica loses one answer. */
+/** Not a case: the reader of the log stops for a while, and a replica loses one answer. */
 final class LogStall {
     private static final int CALLERS = 10;
     private static final int TIMEOUT_MILLIS = 2_000;
--- a/review/harness-2/OldCaller.java
+++ b/review/harness-2/OldCaller.java
@@ -6,7 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** A replica breaks off a stream, and a caller with HTTP/1.0 takes it for complete. */
+/** Case 8: a replica breaks off a stream, and a caller with HTTP/1.0 takes it for complete. */
 final class OldCaller {
     private static final int STREAMS = 10;
     private static final int PIECES = 12;
--- a/review/harness-2/PhotoBurst.java
+++ b/review/harness-2/PhotoBurst.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 6: callers send bodies of the allowed size at the same time. */
+/** Not a case: callers send bodies of the allowed size at the same time. */
 final class PhotoBurst {
     private static final int UPLOADS = 40;
     private static final int BODY_BYTES = 4_194_304;
--- a/review/harness-2/ReplacedMachines.java
+++ b/review/harness-2/ReplacedMachines.java
@@ -2,7 +2,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Machines fail and are replaced by others, one at a time; the directory goes on naming them. */
+/** Case 10: machines fail and are replaced by others, one at a time; the directory goes on naming them. */
 final class ReplacedMachines {
     private static final int CONTACT_MILLIS = 4_000;
     private static final int SLACK_MILLIS = 3_000;
