Send callers only to lost entries with a recent heartbeat

What callers saw: after three replacements of entries, the oldest of three entries named three killed entries beside the three running ones in each answer, for as long as it ran.

Cause: an entry that lost at least half of the fleet also names the lost entries, since it may be isolated itself. All peers that it had ever lost counted, without a time limit, so the number grew with each replacement. Peers that had announced their stop counted too.

Change: FleetView.possiblyServing returns the lost peers that were not leaving and whose last heartbeat is less than 4 s old. Only these count as lost and are named to callers.

--- a/core/src/main/kotlin/org/vanilladale/core/gateway/CallerAddresses.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/CallerAddresses.kt
@@ -30,11 +30,13 @@
      * Returns serving entries in random order: only those in [callerDataCentre] if there are at
      * least [MIN_NEARBY_ENTRIES] of them, otherwise the entries of all data centres.
      *
-     * If this entry lost at least half of all entries, it is more likely to be isolated itself.
-     * The result then also contains the lost entries, because callers may still reach them.
+     * If this entry just lost at least half of all entries, it is more likely to be isolated
+     * itself. The result then also contains the lost entries, because callers may still reach them.
      *
      * @param live entries with a recent heartbeat, including this entry
-     * @param lost entries whose heartbeats have stopped
+     * @param lost entries whose heartbeats have just stopped; see [FleetView.possiblyServing].
+     *   Entries that were lost earlier have probably ended, and with them the number of lost
+     *   entries would only grow while entries are replaced
      * @param callerFacing entries that take requests from callers; other live entries are left out
      */
     public fun choose(
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
@@ -69,8 +69,12 @@
             silenceMilliseconds,
             SILENCE_HEARTBEAT_INTERVALS * heartbeat.intervalMilliseconds,
         )
-        peers[heartbeat.vm] =
-            PeerEntry(heartbeat, now.deadlineAfter(silence), startDeadline(heartbeat, known, now))
+        peers[heartbeat.vm] = PeerEntry(
+            heartbeat,
+            now.deadlineAfter(silence),
+            now.deadlineAfter(ADDRESS_VALIDITY_MILLISECONDS),
+            startDeadline(heartbeat, known, now),
+        )
         add(heartbeat, 1)
         return true
     }
@@ -87,6 +91,15 @@
         return expired
     }
 
+    /**
+     * Returns the lost peers that may still serve callers and only be unreachable from here: those
+     * with a recent heartbeat in which they were not leaving. Entries that ended stay among [lost],
+     * so that their number says nothing about the connection of this entry.
+     */
+    public fun possiblyServing(now: Timestamp): List<PeerEntry> = silent.values.filter {
+        it.heartbeat.phase != EntryPhase.LEAVING && !it.addressDeadline.hasPassed(now)
+    }
+
     /**
      * Returns whether this entry may be cut off from the fleet: it hears no peer although there are
      * some, or it has lost more peers than it hears. Peers that were leaving don't count, nor, if
@@ -198,6 +211,13 @@
          */
         public const val SILENCE_HEARTBEAT_INTERVALS: Int = 4
 
+        /**
+         * Time after the last heartbeat of an entry for which callers may be sent to it. A caller
+         * must not be sent to an entry that ended more than 6 s ago, and the difference covers
+         * heartbeats that arrive late.
+         */
+        public const val ADDRESS_VALIDITY_MILLISECONDS: Long = 4_000
+
         /**
          * Time within which a starting entry is expected to serve. A start takes about a second,
          * and an entry that needs longer has no connection to the store.
--- a/core/src/main/kotlin/org/vanilladale/core/gateway/PeerEntry.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/PeerEntry.kt
@@ -10,11 +10,14 @@
  *
  * @property heartbeat last heartbeat of the entry
  * @property silenceDeadline time at which the entry counts as lost unless another heartbeat arrives
+ * @property addressDeadline time from which the entry counts as ended rather than unreachable, and
+ *   its address is not given to callers, unless another heartbeat arrives
  * @property startDeadline time by which the entry is expected to serve; null unless it is starting
  */
 public data class PeerEntry(
     val heartbeat: EntryBeat,
     val silenceDeadline: Deadline,
+    val addressDeadline: Deadline,
     val startDeadline: Deadline? = null,
 ) {
     /** Whether the entry takes new requests of callers. */
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
@@ -1,13 +1,18 @@
 package org.vanilladale.core.gateway
 
+import kotlin.random.Random
 import org.junit.jupiter.api.Test
+import org.vanilladale.schema.DataCentreName
 import org.vanilladale.schema.EntryPhase
 import org.vanilladale.schema.PoolWaiting
 import org.vanilladale.schema.Revision
 import org.vanilladale.schema.TargetId
 import org.vanilladale.schema.TargetShare
+import org.vanilladale.schema.Timestamp
 import org.vanilladale.schema.VmId
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -78,6 +83,52 @@
         expectThat(view.mayBeCutOff(expectsPeers = true, at(0))).isTrue()
     }
 
+    // Guards against an entry that takes itself for isolated, and sends callers to entries that
+    // ended, because it has outlived many others.
+    @Test
+    fun `peers that were replaced one after the other are not taken for unreachable`() {
+        view.receive(heartbeat("vm-1", 1), at(0))
+        view.receive(heartbeat("vm-2", 1), at(0))
+        for (round in 1..50) {
+            val now = at(round * 10_000L)
+            view.receive(heartbeat("vm-${round + 1}", 2), now)
+            view.receive(heartbeat("vm-${round + 2}", 1), now)
+            view.expire(now)
+            expectThat(view.lost).hasSize(round)
+            expectThat(named(now)).containsExactlyInAnyOrder(
+                "vm-0",
+                "vm-${round + 1}",
+                "vm-${round + 2}",
+            )
+        }
+    }
+
+    // Guards against callers that an entry, once it has lost most of its peers, sends to entries
+    // that ended, for as long as it runs.
+    @Test
+    fun `peers that were lost together may be named for 4 s after their last heartbeat`() {
+        (1..3).forEach { view.receive(heartbeat("vm-$it", 1), at(0)) }
+        view.receive(heartbeat("vm-4", 1, phase = EntryPhase.LEAVING), at(0))
+        view.expire(at(1_000))
+        expectThat(named(at(1_000))).containsExactlyInAnyOrder("vm-0", "vm-1", "vm-2", "vm-3")
+        expectThat(named(at(3_999))).hasSize(4)
+        expectThat(named(at(4_000))).containsExactly("vm-0")
+    }
+
+    /** Returns the entries that callers are sent to at [now]. */
+    private fun named(now: Timestamp): List<String> {
+        val own = AddressCandidate(VmId.parse("vm-0"), DataCentreName.parse("north"), true)
+        return CallerAddresses.choose(
+            view.live.map(::candidateOf) + own,
+            view.possiblyServing(now).map(::candidateOf),
+            own.dataCentre,
+            Random(1),
+        ).map { it.text }
+    }
+
+    private fun candidateOf(peer: PeerEntry) =
+        AddressCandidate(peer.heartbeat.vm, peer.heartbeat.dataCentre, peer.isServing)
+
     @Test
     fun `requests that wait at peers count by priority where a peer states it`() {
         val stated = listOf(PoolWaiting(model, 6, listOf(1, 2, 3)))
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -230,7 +230,8 @@
 
     /** Returns the addresses of the entries that a caller in data centre [near] should use. */
     public fun addressesFor(near: DataCentreName?): List<SocketAddressText> {
-        val (live, lost) = fleet.use { view -> view.live.toList() to view.lost.toList() }
+        val now = clock()
+        val (live, lost) = fleet.use { view -> view.live.toList() to view.possiblyServing(now) }
         val addresses = (live + lost)
             .associate { it.heartbeat.vm to callerAddress(it.heartbeat.address.host) } +
             (settings.vm to settings.callerAddress)
