Don't send callers to standby entries whose last heartbeat is old

What callers would see: in a fleet of more than 87 entries, an entry that ended is named to callers for longer than 7 s. At 360 entries that is 29 s.

Cause: a standby sends a heartbeat every 20 ms times the number of its peers and counts as live for four intervals. If it ends, and caller-facing entries with it, the others choose it as caller-facing and name it, because it is still live.

Change: live peers, too, are named only with a heartbeat of the last 4 s. Caller-facing entries send four a second, so nothing changes for them.

Measured: the new case of FleetViewTest fails with the serving phase alone and passes with the deadline.

--- a/core/src/main/kotlin/org/vanilladale/core/gateway/PeerEntry.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/PeerEntry.kt
@@ -23,6 +23,16 @@
     /** Whether the entry takes new requests of callers. */
     public val isServing: Boolean get() = heartbeat.phase == EntryPhase.SERVING
 
+    /**
+     * Returns the entry as a candidate for callers. An entry that sends heartbeats seldom is still
+     * live for some time after its address deadline, but must not be named then.
+     */
+    public fun addressCandidate(now: Timestamp): AddressCandidate = AddressCandidate(
+        heartbeat.vm,
+        heartbeat.dataCentre,
+        serving = isServing && !addressDeadline.hasPassed(now),
+    )
+
     /** Returns whether the entry serves, or is starting and expected to serve soon. */
     public fun isServingSoon(now: Timestamp): Boolean =
         isServing || startDeadline?.hasPassed(now) == false
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
@@ -115,20 +115,30 @@
         expectThat(named(at(4_000))).containsExactly("vm-0")
     }
 
+    // Guards against callers that are sent to an ended standby of a large fleet, whose silence is
+    // noticed late because it sent heartbeats seldom.
+    @Test
+    fun `a live peer with a long heartbeat interval is named for 4 s after its last heartbeat`() {
+        val standby = heartbeat("vm-1", 1).copy(intervalMilliseconds = 7_000)
+        view.receive(standby, at(0))
+        expectThat(named(at(3_999))).containsExactlyInAnyOrder("vm-0", "vm-1")
+        expectThat(view.expire(at(4_000))).hasSize(0)
+        expectThat(named(at(4_000))).containsExactly("vm-0")
+        view.receive(standby.copy(sequence = 2), at(7_000))
+        expectThat(named(at(7_000))).containsExactlyInAnyOrder("vm-0", "vm-1")
+    }
+
     /** Returns the entries that callers are sent to at [now]. */
     private fun named(now: Timestamp): List<String> {
         val own = AddressCandidate(VmId.parse("vm-0"), DataCentreName.parse("north"), true)
         return CallerAddresses.choose(
-            view.live.map(::candidateOf) + own,
-            view.possiblyServing(now).map(::candidateOf),
+            view.live.map { it.addressCandidate(now) } + own,
+            view.possiblyServing(now).map { it.addressCandidate(now) },
             own.dataCentre,
             Random(1),
         ).map { it.text }
     }
 
-    private fun candidateOf(peer: PeerEntry) =
-        AddressCandidate(peer.heartbeat.vm, peer.heartbeat.dataCentre, peer.isServing)
-
     @Test
     fun `requests that wait at peers count by priority where a peer states it`() {
         val stated = listOf(PoolWaiting(model, 6, listOf(1, 2, 3)))
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -236,8 +236,8 @@
             .associate { it.heartbeat.vm to callerAddress(it.heartbeat.address.host) } +
             (settings.vm to settings.callerAddress)
         return CallerAddresses.choose(
-            live.map(::candidateOf) + ownCandidates(),
-            lost.map(::candidateOf),
+            live.map { it.addressCandidate(now) } + ownCandidates(),
+            lost.map { it.addressCandidate(now) },
             near,
             random,
             frontEntryIds(),
