Share retry budgets among entries lost in the last ten minutes only

What callers would see: an entry that has outlived many others refuses requests for want of retry budget though the fleet has plenty.

Cause: an entry divides the slack of the retry budget by the number of entries, and all peers that it had ever lost, up to 512, counted. The exemption of fleets of at most three entries in FleetView.mayBeCutOff used the same number.

Change: lost peers count for ten minutes after their loss. entryCount takes the time, so the call in FleetViewTest that checks it does too; its expectation is the same.

Measured: the new case of FleetViewTest fails with all lost peers counted and passes now.

--- a/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/gateway/FleetView.kt
@@ -41,9 +41,6 @@
     /** Silent peers with their last heartbeat; they may still run and only be unreachable. */
     public val lost: Collection<PeerEntry> get() = silent.values
 
-    /** Number of entries that share budgets: this entry, live peers and lost peers. */
-    public val entryCount: Int get() = 1 + peers.size + silent.size
-
     /** Highest revision of the configuration in effect at a live peer, or null if none has any. */
     public val highestTablesRevision: Revision?
         get() = peers.values.mapNotNull { it.heartbeat.tablesRevision }.maxOrNull()
@@ -111,13 +108,18 @@
     public fun mayBeCutOff(expectsPeers: Boolean, now: Timestamp): Boolean {
         val unreachable = silent.values.filter { it.heartbeat.phase != EntryPhase.LEAVING }
         if (peers.isEmpty()) return expectsPeers || unreachable.isNotEmpty()
-        val lostLately = unreachable.count {
-            now.epochMilliseconds - it.silenceDeadline.epochMilliseconds <
-                LOST_LATELY_MILLISECONDS
-        }
-        return entryCount > MAX_SMALL_FLEET && lostLately > peers.size
+        val lostLately = unreachable.count { it.wasLostWithin(LOST_LATELY_MILLISECONDS, now) }
+        return entryCount(now) > MAX_SMALL_FLEET && lostLately > peers.size
     }
 
+    /**
+     * Returns the number of entries that share budgets: this entry, live peers, and lost peers that
+     * may still run. Peers that were lost over [BUDGET_SHARE_MILLISECONDS] ago don't count, because
+     * entries that were replaced would otherwise reduce the shares of the others for good.
+     */
+    public fun entryCount(now: Timestamp): Int =
+        1 + peers.size + silent.values.count { it.wasLostWithin(BUDGET_SHARE_MILLISECONDS, now) }
+
     /** Returns the addresses of all peers, including lost ones. */
     public fun addresses(): List<SocketAddressText> =
         (peers.values + silent.values).map { it.heartbeat.address }
@@ -155,6 +157,9 @@
     /** Returns the number of peers at which requests wait for a slot in [pool]. */
     public fun waitingEntries(pool: PoolName): Int = waitingEntries[pool] ?: 0
 
+    private fun PeerEntry.wasLostWithin(milliseconds: Long, now: Timestamp): Boolean =
+        now.epochMilliseconds - silenceDeadline.epochMilliseconds < milliseconds
+
     private fun startDeadline(heartbeat: EntryBeat, known: PeerEntry?, now: Timestamp): Deadline? {
         if (heartbeat.phase != EntryPhase.STARTING) return null
         val earlier = known?.takeIf {
@@ -227,6 +232,12 @@
         /** Time after which a lost peer counts as removed rather than unreachable. */
         private const val LOST_LATELY_MILLISECONDS = 60_000L
 
+        /**
+         * Time for which a lost peer keeps its share of budgets. During a partition that lasts
+         * longer, each part of the fleet uses the shares of the others.
+         */
+        public const val BUDGET_SHARE_MILLISECONDS: Long = 600_000
+
         /** Number of entries that may act alone without exceeding a limit of the fleet together. */
         private const val MAX_SMALL_FLEET = 3
 
--- a/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
+++ b/core/src/test/kotlin/org/vanilladale/core/gateway/FleetViewTest.kt
@@ -159,10 +159,22 @@
         expectThat(view.expire(at(1_000))).hasSize(1)
         expectThat(view.running(a)).isEqualTo(0)
         expectThat(view.gapOrNull(a)).isNull()
-        expectThat(view.entryCount).isEqualTo(2)
+        expectThat(view.entryCount(at(1_000))).isEqualTo(2)
         expectThat(view.lost).hasSize(1)
     }
 
+    // Guards against an entry that gives up its share of the retry budget while it outlives others.
+    @Test
+    fun `peers that were replaced leave their share of budgets to others after ten minutes`() {
+        for (round in 1..200) {
+            val now = at(round * 60_000L)
+            view.receive(heartbeat("vm-$round", 1), now)
+            view.expire(now)
+            expectThat(view.lost).hasSize(round - 1)
+            expectThat(view.entryCount(now)).isEqualTo(2 + minOf(round - 1, 10))
+        }
+    }
+
     @Test
     fun `a restart after the clock was set back counts once the old process is lost`() {
         view.receive(heartbeat("vm-1", 50, incarnation = 9, targets = share(3)), at(0))
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/FleetRetryBudget.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/FleetRetryBudget.kt
@@ -22,8 +22,9 @@
 
     /** Takes one retry to [pool] from the share of this entry. Returns false if it is used up. */
     fun tryTake(pool: PoolName): Boolean {
-        val entries = fleet.use { it.entryCount }
-        return withBudget(pool) { tryTake(entries, clock()) }
+        val now = clock()
+        val entries = fleet.use { it.entryCount(now) }
+        return withBudget(pool) { tryTake(entries, now) }
     }
 
     private fun <R> withBudget(pool: PoolName, block: WindowedRetryBudget.() -> R): R =
