Name only live peers in heartbeats

What callers would see: around the start of an entry in a fleet that has replaced many, the new entry learns of the others late, and an entry that knows too few peers may move experts although another one does, which holds streams.

Cause: a heartbeat names six of all known peers, and those included all peers that had ever been lost, up to 512. The schema says "some peers that the sender heard lately".

Change: a heartbeat names six of the live peers. Lost peers still get heartbeats, so that a partition heals from either side.

Measured: the new case of PeerHeartbeatsTest failed before, where six of six names were lost peers out of 20, and passes now.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PeerHeartbeats.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PeerHeartbeats.kt
@@ -120,10 +120,15 @@
         entry.loadSubscribers().size * MIN_INTERVAL_PER_SUBSCRIBER_MILLISECONDS,
     )
 
-    /** Sends a heartbeat immediately to all peers, and to seeds that are not known yet. */
+    /**
+     * Sends a heartbeat immediately to all peers, and to seeds that are not known yet. It names
+     * only live peers, because most lost ones have ended and a new entry would learn little.
+     */
     fun send() {
-        val known = fleet.use { it.addresses() }
-        val bytes = encoded(known.shuffled(random).take(MAX_PEERS_PER_HEARTBEAT))
+        val (live, known) = fleet.use { view ->
+            view.live.map { it.heartbeat.address } to view.addresses()
+        }
+        val bytes = encoded(live.shuffled(random).take(MAX_PEERS_PER_HEARTBEAT))
         (known + entry.seeds()).distinct()
             .filter { it != entry.address }
             .forEach { sendTo(it, bytes) }
