Log how far a request had come when it ends without a whole answer

The "cut" line has a reason and no progress, a connection that this entry closes for idleness or at its end counts as "caller-left", and an answer whose connection ends before it is written leaves no line. Change: "cut" and "caller-left" name the step, the attempts, the events, the last event and the bytes passed to the connection, and what ended the connection. Requests that are left when the process ends get a "cut" line. No decision changes.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerAnswer.kt
@@ -8,11 +8,13 @@
 /**
  * The answer to one caller.
  *
+ * @param onPassed called with the number of bytes of the body that are passed to the connection
  * @param onWritten called when the complete answer has been written to the connection, or can no
  *   longer be
  */
 internal class CallerAnswer(
     private val response: HttpServerResponse,
+    private val onPassed: (Int) -> Unit,
     private val onWritten: () -> Unit,
 ) {
     /** True once part of the answer has been written. */
@@ -21,6 +23,7 @@
     /** Writes a complete answer. */
     suspend fun write(status: Int, headers: MultiMap, body: Buffer) {
         response.setStatusCode(status).headers().addAll(headers)
+        onPassed(body.length())
         response.end(body).onComplete { onWritten() }.coAwait()
     }
 
@@ -31,6 +34,7 @@
 
     /** Writes a part, and waits if the caller reads too slowly. */
     suspend fun writePart(part: Buffer) {
+        onPassed(part.length())
         val written = response.write(part)
         if (response.writeQueueFull()) written.coAwait()
     }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServer.kt
@@ -69,8 +69,10 @@
         val exchange = CallerExchange(request, arrivedAt)
         exchange.begin()
         request.response().endHandler { exchange.end() }
-        request.response().closeHandler { exchange.connectionClosed() }
-        request.response().exceptionHandler { exchange.connectionClosed() }
+        request.response().closeHandler { exchange.connectionClosed("closed") }
+        request.response().exceptionHandler { cause ->
+            exchange.connectionClosed(cause.message ?: cause.javaClass.simpleName)
+        }
         if (shared.drain.closesConnections) request.response().putHeader("connection", "close")
         shared.dialect.readRequestHead(request, arrivedAt).fold(exchange::refuse) { head ->
             exchange.id = head.request
@@ -87,8 +89,13 @@
         private var job: Job? = null
         private var ended = false
         private var revision: Long? = null
-        private val answer = CallerAnswer(request.response(), ::release)
-        private val inFlight = DrainState.InFlight { requests.launch { interrupt() } }
+        private var released = false
+        private var cutLogged = false
+        private var answerBytes = 0L
+        private var lastTransferAt = arrivedAt
+        private val answer = CallerAnswer(request.response(), ::answerPassed, ::release)
+        private val inFlight =
+            DrainState.InFlight({ requests.launch { interrupt() } }, ::reportUnfinished)
         private var forwarded: ForwardedRequest? = null
 
         fun begin() = shared.drain.requestBegan(inFlight)
@@ -118,6 +125,7 @@
                 if (!refused && !request.isEnded) refuseBody(RefusalReason.BODY_TOO_SLOW)
             }
             request.handler { chunk ->
+                lastTransferAt = shared.clock()
                 if (refused) return@handler
                 if (body.length() + chunk.length() > admitted.tables.limits.maximumBodyBytes) {
                     refuseBody(RefusalReason.BODY_TOO_LARGE)
@@ -185,10 +193,10 @@
                     }
                         ?: Outcome(Refusal(RefusalReason.DEADLINE_PASSED))
                 outcome.refusal?.let(::refuse)
-            } catch (_: IOException) {
-                callerDisconnected()
-            } catch (_: VertxException) {
-                callerDisconnected()
+            } catch (broken: IOException) {
+                callerDisconnected(broken.message ?: broken.javaClass.simpleName)
+            } catch (broken: VertxException) {
+                callerDisconnected(broken.message ?: broken.javaClass.simpleName)
             }
         }
 
@@ -199,18 +207,28 @@
         }
 
         private fun abort(refusal: Refusal) {
+            logCut("${refusal.reason.code}: ${refusal.detail.orEmpty()}")
+            end()
+            answer.abort()
+        }
+
+        private fun logCut(reason: String) {
+            if (cutLogged) return
+            cutLogged = true
             shared.log.log(
                 GatewayEvent.AnswerAborted(
                     id?.text.orEmpty(),
-                    "${refusal.reason.code}: ${refusal.detail.orEmpty()}",
+                    reason,
+                    step,
+                    answerProgress,
                     shared.clock().millisecondsSince(arrivedAt),
-                    null,
                 ),
             )
-            end()
-            answer.abort()
         }
 
+        /** Logs a request that is still in flight when the process ends. */
+        private fun reportUnfinished() = logCut("the process ends")
+
         private fun writeRefusal(refusal: Refusal) {
             val subject = RefusalWriter.Subject(id, arrivedAt, revision)
             shared.refusals.write(request, subject, refusal).onComplete { release() }
@@ -220,32 +238,72 @@
         }
 
         /** How far the request has come, in words for the log. */
-        private val progress: String
+        private val step: String
             get() = when {
+                ended -> "its answer is being written"
                 forwarded == null -> "its body is not complete"
                 answer.isStarted -> "its answer has begun"
                 forwarded?.mayHaveRun == true -> "it is at a target"
                 else -> "it waits for a place"
             }
 
+        private val answerProgress: GatewayEvent.AnswerProgress
+            get() = GatewayEvent.AnswerProgress(
+                forwarded?.attempts ?: 0,
+                forwarded?.progress?.events ?: 0,
+                forwarded?.progress?.lastEvent,
+                answerBytes,
+            )
+
         /** Refuses the request, or closes its connection if part of the answer was written. */
         private fun interrupt() {
             val run = if (forwarded?.mayHaveRun == true) RunState.UNKNOWN else RunState.NO
-            refuse(Refusal(RefusalReason.LEAVING, run, "the process ends: $progress"))
+            refuse(Refusal(RefusalReason.LEAVING, run, "the process ends: $step"))
             job?.cancel()
         }
 
-        fun connectionClosed() {
-            callerDisconnected()
+        private fun answerPassed(bytes: Int) {
+            answerBytes += bytes
+            lastTransferAt = shared.clock()
+        }
+
+        /** Called when the connection ends with [reason], here or at the caller. */
+        fun connectionClosed(reason: String) {
+            if (released) return
+            val idleMilliseconds = shared.clock().millisecondsSince(lastTransferAt)
+            when {
+                shared.servers.isClosed -> cut("the process ends and closes its connections")
+
+                idleMilliseconds >= shared.limits.idleTimeoutMilliseconds ->
+                    cut("the connection was idle for $idleMilliseconds ms")
+
+                // The whole answer was passed to the connection, which ended before it was written.
+                ended -> cut("connection: $reason")
+
+                else -> callerDisconnected(reason)
+            }
             release()
         }
 
-        fun callerDisconnected() {
-            if (ended) return
+        private fun cut(reason: String) {
+            logCut(reason)
             end()
-            val afterMilliseconds = shared.clock().millisecondsSince(arrivedAt)
+            job?.cancel()
+        }
+
+        fun callerDisconnected(reason: String) {
+            if (ended) return
             shared.metrics.counters.event("caller-left")
-            shared.log.log(GatewayEvent.CallerDisconnected(id?.text.orEmpty(), afterMilliseconds))
+            shared.log.log(
+                GatewayEvent.CallerDisconnected(
+                    id?.text.orEmpty(),
+                    reason,
+                    step,
+                    answerProgress,
+                    shared.clock().millisecondsSince(arrivedAt),
+                ),
+            )
+            end()
             job?.cancel()
         }
 
@@ -254,7 +312,10 @@
         }
 
         /** Called when the answer has been written or its connection is closed. */
-        private fun release() = shared.drain.requestEnded(inFlight)
+        private fun release() {
+            released = true
+            shared.drain.requestEnded(inFlight)
+        }
     }
 
     /**
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServers.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/CallerServers.kt
@@ -16,6 +16,9 @@
     @Volatile
     private var closeDeadline: Deadline? = null
 
+    /** True once connections are closed whatever is in flight on them. */
+    val isClosed: Boolean get() = closeDeadline?.hasPassed(clock()) == true
+
     /** Adds a listening server, and closes it if [close] was called before. */
     fun opened(server: HttpServer) {
         servers += server
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/DrainState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/DrainState.kt
@@ -24,8 +24,13 @@
     @Volatile
     private var recentUntil = clock().deadlineAfter(0)
 
-    /** A request in flight. [interrupt] answers it, or closes its connection, at once. */
-    class InFlight(val interrupt: () -> Unit)
+    /**
+     * A request in flight.
+     *
+     * @property interrupt answers it, or closes its connection, at once
+     * @property reportUnfinished logs that the process ends before its answer was written
+     */
+    class InFlight(val interrupt: () -> Unit, val reportUnfinished: () -> Unit)
 
     /** Number of open connections of callers. */
     val connections: Int get() = openConnections.size
@@ -65,6 +70,9 @@
     /** Ends all requests in flight with an answer that says whether they may have run. */
     fun interruptAll() = requests.forEach { it.interrupt() }
 
+    /** Logs the requests whose answers have not been written when the process ends. */
+    fun reportUnfinished() = requests.forEach { it.reportUnfinished() }
+
     private companion object {
         /** A caller with a persistent connection sends its next request within about a second. */
         const val RECENT_MILLISECONDS = 700L
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
@@ -52,9 +52,16 @@
 
     val deadline: Deadline get() = times.deadline
 
-    /** True once the request may have reached a target. */
+    /** Part of the stream that the caller has received, or null unless the route is a stream. */
+    val progress: StreamProgress? =
+        if (route.repeat.isStream) StreamProgress(head.resumeAfter) else null
+
+    /** Number of attempts that were begun. */
     @Volatile
-    var mayHaveRun = false
+    var attempts = 0
+
+    /** True once the request may have reached a target. */
+    val mayHaveRun: Boolean get() = attempts > 0
 
     /** True if targets are told the priority, because requests of other priorities compete. */
     @Volatile
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarder.kt
@@ -30,11 +30,7 @@
 ) {
     private class ForwardingState(val request: ForwardedRequest) {
         val tried = HashSet<TargetId>()
-        val progress = if (request.route.repeat.isStream) {
-            StreamProgress(request.head.resumeAfter)
-        } else {
-            null
-        }
+        val progress get() = request.progress
         var firstSentAt: Timestamp? = null
         var sends = 0
         var possibleRuns = 0
@@ -95,7 +91,7 @@
         val startedAt = clock()
         val firstSentAt = state.firstSentAt ?: startedAt
         state.firstSentAt = firstSentAt
-        request.mayHaveRun = true
+        request.attempts++
         val result = try {
             attempts.run(request, target, state.mayRepeat, state.progress, answer)
         } finally {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -192,21 +192,53 @@
         val longestGapMilliseconds: Long? = null,
     ) : GatewayEvent
 
-    /** The connection to a caller was closed in the middle of an answer. */
+    /** How much of an answer its caller has been sent. */
+    @Serializable
+    public data class AnswerProgress(
+        /** Attempts that were begun. */
+        val attempts: Int,
+
+        /** Events of a stream. */
+        val events: Int,
+
+        /** Id of the last event, or of the one after which the caller resumed. */
+        val lastEvent: Long?,
+
+        /** Bytes of the body that were passed to the connection. */
+        val bytes: Long,
+    )
+
+    /**
+     * A request ended without a whole answer, after [afterMilliseconds].
+     *
+     * @property reason what ended it: a decision of this entry, or the end of the connection
+     * @property step how far the request had come, in words
+     */
     @Serializable
     @SerialName("cut")
     public data class AnswerAborted(
         val request: String,
         val reason: String,
+        val step: String,
+        val progress: AnswerProgress,
         val afterMilliseconds: Long,
-        val lastEvent: Long?,
     ) : GatewayEvent
 
-    /** The caller disconnected before its answer was complete. */
+    /**
+     * The caller disconnected before its answer was complete.
+     *
+     * @property reason how the connection ended
+     * @property step how far the request had come, in words
+     */
     @Serializable
     @SerialName("caller-left")
-    public data class CallerDisconnected(val request: String, val afterMilliseconds: Long) :
-        GatewayEvent
+    public data class CallerDisconnected(
+        val request: String,
+        val reason: String,
+        val step: String,
+        val progress: AnswerProgress,
+        val afterMilliseconds: Long,
+    ) : GatewayEvent
 
     /**
      * A target crashed with a request that has [trait], or answered one again. [state] is `suspect`
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayStop.kt
@@ -82,6 +82,7 @@
         withTimeoutOrNull(SETTLE_MILLISECONDS) {
             while (drain.connections > 0) delay(POLL_MILLISECONDS)
         }
+        drain.reportUnfinished()
         logStage("closed", beganAt)
         return beganAt.deadlineAfter(stopMilliseconds + LOG_MILLISECONDS)
     }
