Keep the attempt at a silent target until another one goes on

Callers saw: streams that end with a closed connection after part of their events, and look-ups refused with 502, although the target had only paused. Around a planned stop this breaks the rule that a target's silence is no reason to end an answer sooner. Cause: an attempt whose target is silent for 1.2 s (a first event: 1.5 s, a plain answer: 0.6 of the goal) was closed before it was known whether the retry budget, a free place, a pause, an evacuation or the next target allows another one. If none does, the answer ends. Change: silence is a report, no end. Forwarding seeks another target beside the silent one; the first that has an event or a whole answer goes on and ends the others, so no event comes twice. The retry budget is taken when the second target has a place, and the number of attempts is limited as before. A request that may run only once waits for its deadline, as before. Why it works: the attempt is ended only by one that has something for the caller, by the target itself or by the deadline.

--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientResponse
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.vanilladale.core.admission.BufferBudget
 import org.vanilladale.core.gateway.KnownTarget
@@ -32,30 +33,35 @@
     private val onFirstEvent: (ForwardedRequest) -> Unit,
     private val onGap: (ForwardedRequest, KnownTarget, Long) -> Unit,
 ) {
-    /** Runs an attempt. [progress] is null unless the route is a stream. */
+    /**
+     * Runs an attempt. A target that is silent is reported to [coordination]; the attempt goes on
+     * until the request's deadline.
+     */
     suspend fun run(
         request: ForwardedRequest,
         target: KnownTarget,
-        mayRepeat: Boolean,
-        progress: StreamProgress?,
+        coordination: AttemptCoordination,
         answer: CallerAnswer,
-    ): AttemptResult {
+    ): AttemptResult = coroutineScope {
         val exchange =
             TargetExchange.connectOrNull(client, target.address, request.method, request.uri)
-                ?: return AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection")
-        val eventsBefore = progress?.events
-        return try {
-            exchange.send(headersFor(request, target, progress), request.body)
-            val timeout = timeouts.firstAnswer(request, mayRepeat)
-            val head = withTimeoutOrNull(timeout) { exchange.head() }
-                ?: return AttemptResult.Failed(AttemptEnd.SILENT, "no answer within $timeout ms")
-            handleResponse(Attempt(request, target, exchange, mayRepeat), head, progress, answer)
+                ?: return@coroutineScope AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection")
+        val watch = if (request.route.repeat.mayRunAgain) {
+            SilenceWatch(this, clock, coordination.onSilent)
+        } else {
+            null
+        }
+        val attempt = Attempt(request, target, exchange, watch, coordination)
+        try {
+            val timeLeft = timeouts.timeLeft(request)
+            withTimeoutOrNull(timeLeft) { exchangeWithTarget(attempt, answer) }
+                ?: AttemptResult.Failed(AttemptEnd.SILENT, "no answer within $timeLeft ms")
         } catch (broken: TargetExchangeException) {
             // A target that only lost the answer still accepts connections.
-            val isCrash = progress?.events == eventsBefore &&
-                !probe.isListening(target.address)
+            val isCrash = !attempt.hasEvents && !probe.isListening(target.address)
             AttemptResult.Failed(AttemptEnd.BROKEN, broken.message.orEmpty(), isCrash = isCrash)
         } finally {
+            watch?.close()
             exchange.close()
         }
     }
@@ -64,31 +70,39 @@
         val request: ForwardedRequest,
         val target: KnownTarget,
         val exchange: TargetExchange,
-        val mayRepeat: Boolean,
-    )
+        val watch: SilenceWatch?,
+        val coordination: AttemptCoordination,
+    ) {
+        /** True once the attempt has brought an event that the caller did not have. */
+        var hasEvents = false
+    }
 
-    private fun headersFor(
-        request: ForwardedRequest,
-        target: KnownTarget,
-        progress: StreamProgress?,
-    ) = dialect.createTargetHeaders(
-        ForwardedHead(
-            request.headers,
-            request.head.request,
-            target.id,
-            request.workspace?.id,
-            request.deadline.millisecondsLeft(clock()),
-            progress?.lastEvent,
-            request.priority.takeIf { request.statesPriority }?.let(PriorityMix::levelOf),
-        ),
-    )
+    private suspend fun exchangeWithTarget(attempt: Attempt, answer: CallerAnswer): AttemptResult {
+        val request = attempt.request
+        attempt.exchange.send(headersFor(request, attempt.target), request.body)
+        attempt.watch?.expect("no answer", timeouts.firstAnswer(request))
+        return handleResponse(attempt, attempt.exchange.head(), answer)
+    }
+
+    private fun headersFor(request: ForwardedRequest, target: KnownTarget) =
+        dialect.createTargetHeaders(
+            ForwardedHead(
+                request.headers,
+                request.head.request,
+                target.id,
+                request.workspace?.id,
+                request.deadline.millisecondsLeft(clock()),
+                request.progress?.lastEvent,
+                request.priority.takeIf { request.statesPriority }?.let(PriorityMix::levelOf),
+            ),
+        )
 
     private suspend fun handleResponse(
         attempt: Attempt,
         response: HttpClientResponse,
-        progress: StreamProgress?,
         answer: CallerAnswer,
     ): AttemptResult {
+        val progress = attempt.request.progress
         val head = dialect.readAnswerHead(response, attempt.request.head.request, clock())
         onHead(attempt.request, attempt.target, head)
         return faultOrNull(head) ?: when {
@@ -140,7 +154,7 @@
         val body = Buffer.buffer()
         try {
             readBody(attempt, body)?.let { return it }
-            return deliverFull(response, head, body, answer)
+            return deliverFull(attempt, response, head, body, answer)
         } finally {
             buffers.release(body.length().toLong())
         }
@@ -148,12 +162,9 @@
 
     /** Appends the whole body of an answer to [body]. Returns the failure, or null. */
     private suspend fun readBody(attempt: Attempt, body: Buffer): AttemptResult.Failed? {
-        val deadline = clock().deadlineAfter(timeouts.body(attempt.request, attempt.mayRepeat))
+        attempt.watch?.expect("no complete body", timeouts.body(attempt.request))
         while (true) {
-            val part = withTimeoutOrNull(deadline.millisecondsLeft(clock())) {
-                BodyPart(attempt.exchange.nextOrNull())
-            } ?: return AttemptResult.Failed(AttemptEnd.SILENT, "body not complete in time")
-            val bytes = part.bytes ?: return null
+            val bytes = attempt.exchange.nextOrNull() ?: return null
             if (body.length() + bytes.length() > MAX_BODY_BYTES) {
                 return AttemptResult.Failed(AttemptEnd.BROKEN, "body over $MAX_BODY_BYTES bytes")
             }
@@ -165,6 +176,7 @@
     }
 
     private suspend fun deliverFull(
+        attempt: Attempt,
         response: HttpClientResponse,
         head: TargetHead,
         body: Buffer,
@@ -176,6 +188,7 @@
             val signedAnswer = buffered.takeIf { head.isSigned }
             return AttemptResult.Failed(AttemptEnd.FAILED, "status ${head.status}", signedAnswer)
         }
+        attempt.coordination.claim()
         answer.write(buffered.status, buffered.headers, buffered.body)
         return AttemptResult.Delivered(buffered.status)
     }
@@ -188,11 +201,9 @@
     ): AttemptResult {
         val splitter = EventSplitter()
         val relay = EventRelay(attempt, response, progress, answer)
+        attempt.watch?.expect("no event", timeouts.firstAnswer(attempt.request))
         while (true) {
-            val part = withTimeoutOrNull(relay.deadline.millisecondsLeft(clock())) {
-                BodyPart(attempt.exchange.nextOrNull())
-            } ?: return AttemptResult.Failed(AttemptEnd.SILENT, "no event in time")
-            val bytes = part.bytes ?: break
+            val bytes = attempt.exchange.nextOrNull() ?: break
             val events = splitter.feed(bytes.bytes).getOrElse {
                 return AttemptResult.Failed(
                     AttemptEnd.BROKEN,
@@ -204,6 +215,7 @@
         if (splitter.hasPartialEvent) {
             return AttemptResult.Failed(AttemptEnd.BROKEN, "stream ended within an event")
         }
+        attempt.coordination.claim()
         relay.startAnswer()
         answer.end()
         return AttemptResult.Delivered(response.statusCode())
@@ -216,18 +228,6 @@
         private val progress: StreamProgress,
         private val answer: CallerAnswer,
     ) {
-        // The pause before the first event of an attempt does not reflect the duration of
-        // the target's passes.
-        private var isFirstEvent = true
-
-        /**
-         * Time at which the target counts as silent. Only a complete event with data extends it, or
-         * a byte now and then would keep a stalled stream alive.
-         */
-        var deadline =
-            clock().deadlineAfter(timeouts.firstAnswer(attempt.request, attempt.mayRepeat))
-            private set
-
         fun startAnswer() {
             if (answer.isStarted) return
             answer.start(response.statusCode(), dialect.createAnswerHeaders(response.headers()))
@@ -235,6 +235,13 @@
 
         /** Writes [events], which arrived together, in one piece. */
         suspend fun deliver(events: List<StreamEvent>) {
+            val hasProgress = events.any { !it.isComment && !isRepeated(it.id, progress) }
+            if (hasProgress) {
+                attempt.coordination.claim()
+            } else if (!attempt.coordination.isAlone()) {
+                // The answer has the head of the target whose events it has.
+                return
+            }
             val part = Buffer.buffer()
             events.forEach { event ->
                 if (isRepeated(event.id, progress)) return@forEach
@@ -243,16 +250,22 @@
             }
             if (part.length() == 0) return
             startAnswer()
+            // Only a complete event with data counts, or a byte now and then would keep a stalled
+            // stream alive. The time in which the caller does not read is not the target's.
+            if (hasProgress) attempt.watch?.pause()
             answer.writePart(part)
+            if (hasProgress) {
+                attempt.watch?.expect("no event", timeouts.nextEvent(attempt.request))
+            }
         }
 
         private fun recordProgress(event: StreamEvent) {
             val gap = progress.recordEvent(event.id, clock())
-            if (isFirstEvent) onFirstEvent(attempt.request)
-            if (gap != null && !isFirstEvent) onGap(attempt.request, attempt.target, gap)
-            isFirstEvent = false
-            val timeout = timeouts.nextEvent(attempt.request, attempt.mayRepeat)
-            deadline = clock().deadlineAfter(timeout)
+            if (!attempt.hasEvents) onFirstEvent(attempt.request)
+            // The pause before the first event of an attempt does not reflect the duration of
+            // the target's passes.
+            if (gap != null && attempt.hasEvents) onGap(attempt.request, attempt.target, gap)
+            attempt.hasEvents = true
         }
     }
 
@@ -261,9 +274,6 @@
         return id != null && id <= last
     }
 
-    /** Wraps a part of the body; null [bytes] mean the end of the body, as opposed to a timeout. */
-    private class BodyPart(val bytes: Buffer?)
-
     private companion object {
         /** Bounds the memory of an entry. Answers of plain services have a few KB. */
         const val MAX_BODY_BYTES = 8 shl 20
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptTimeouts.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptTimeouts.kt
@@ -2,34 +2,32 @@
 
 import org.vanilladale.schema.Timestamp
 
-/** Timeouts after which the attempt at a silent target counts as failed. */
+/** Time limits after which a silent target may be replaced by another one. */
 internal class AttemptTimeouts(private val clock: () -> Timestamp) {
-    /** Returns the timeout in milliseconds for the head or the first event of an answer. */
-    fun firstAnswer(request: ForwardedRequest, mayRepeat: Boolean): Long = when {
-        !mayRepeat -> timeLeft(request)
-
-        request.route.repeat.isStream -> minOf(FIRST_EVENT_TIMEOUT_MILLISECONDS, timeLeft(request))
-
-        // Targets usually answer fast enough for a second attempt to finish within the goal as
-        // well.
-        else -> minOf(
-            (request.route.goalMilliseconds * FIRST_ATTEMPT_SHARE_OF_GOAL).toLong(),
-            timeLeft(request),
-        )
-    }
-
-    /** Returns the timeout in milliseconds for the next event of a stream. */
-    fun nextEvent(request: ForwardedRequest, mayRepeat: Boolean): Long =
-        if (mayRepeat) minOf(EVENT_TIMEOUT_MILLISECONDS, timeLeft(request)) else timeLeft(request)
+    /** Returns the limit in milliseconds for the head or the first event of an answer. */
+    fun firstAnswer(request: ForwardedRequest): Long = minOf(
+        if (request.route.repeat.isStream) {
+            FIRST_EVENT_TIMEOUT_MILLISECONDS
+        } else {
+            // Targets usually answer fast enough for a second attempt to finish within the goal as
+            // well.
+            (request.route.goalMilliseconds * FIRST_ATTEMPT_SHARE_OF_GOAL).toLong()
+        },
+        timeLeft(request),
+    )
+
+    /** Returns the limit in milliseconds for the next event of a stream. */
+    fun nextEvent(request: ForwardedRequest): Long =
+        minOf(EVENT_TIMEOUT_MILLISECONDS, timeLeft(request))
 
     /**
-     * Returns the timeout in milliseconds for the complete body of a plain answer. It holds for the
+     * Returns the limit in milliseconds for the complete body of a plain answer. It holds for the
      * whole body, so that a byte now and then does not use up the time for a second attempt.
      */
-    fun body(request: ForwardedRequest, mayRepeat: Boolean): Long =
-        if (mayRepeat) timeLeft(request) / 2 else timeLeft(request)
+    fun body(request: ForwardedRequest): Long = timeLeft(request) / 2
 
-    private fun timeLeft(request: ForwardedRequest): Long =
+    /** Returns the time in milliseconds until the caller or the route gives up. */
+    fun timeLeft(request: ForwardedRequest): Long =
         request.deadline.millisecondsLeft(clock()).coerceAtLeast(1)
 
     private companion object {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardedRequest.kt
@@ -60,6 +60,9 @@
     @Volatile
     var attempts = 0
 
+    /** Time at which the first attempt was begun, or null before it. */
+    var firstSentAt: Timestamp? = null
+
     /** True once the request may have reached a target. */
     val mayHaveRun: Boolean get() = attempts > 0
 
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Gateway.kt
@@ -172,6 +172,11 @@
         callerServers::close,
     ) { heartbeats.send() }
 
+    private val forwarderDependencies =
+        ForwarderDependencies(dispatcher, budget, suspects, log, metrics, clock) {
+            plannedStop.drain.refusalOrNull(it.head, it.pool, it.times, AcceptanceStep.SLOT)
+        }
+
     @Volatile
     private var isServingCallers = false
 
@@ -294,9 +299,7 @@
             metrics.recordGap(gap)
             dispatcher.observe(request.pool.name) { now -> recordGap(target.id, gap, now) }
         }
-        return Forwarder(dispatcher, attempts, budget, suspects, log, metrics, clock) {
-            plannedStop.drain.refusalOrNull(it.head, it.pool, it.times, AcceptanceStep.SLOT)
-        }
+        return Forwarder(forwarderDependencies, attempts)
     }
 
     /** Returns the caller-facing entries among this one and the live peers that serve. */
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/GatewayEvent.kt
@@ -159,6 +159,29 @@
         val lastEvent: Long? = null,
     ) : GatewayEvent
 
+    /**
+     * A target has sent nothing for too long, as [detail] says. Its attempt goes on, and another
+     * target is asked if possible.
+     */
+    @Serializable
+    @SerialName("target-silent")
+    public data class TargetSilent(
+        val request: String,
+        val target: String,
+        val detail: String,
+        val tookMilliseconds: Long,
+        val lastEvent: Long? = null,
+    ) : GatewayEvent
+
+    /**
+     * An attempt was ended because that at target [by] went on first, or because another target had
+     * answered with an error.
+     */
+    @Serializable
+    @SerialName("attempt-superseded")
+    public data class AttemptSuperseded(val request: String, val target: String, val by: String?) :
+        GatewayEvent
+
     /** A request is sent to another target. */
     @Serializable
     @SerialName("resent")
