--- a/core/src/main/kotlin/org/vanilladale/core/retry/WindowedRetryBudget.kt
+++ b/core/src/main/kotlin/org/vanilladale/core/retry/WindowedRetryBudget.kt
@@ -42,13 +42,18 @@
      * @param entries number of entries that share the budget
      */
     public fun tryTake(entries: Int, now: Timestamp): Boolean {
-        val bucket = current(now)
+        if (!mayTake(entries, now)) return false
+        current(now).retries++
+        return true
+    }
+
+    /** Returns whether [tryTake] would take a retry at [now]. */
+    public fun mayTake(entries: Int, now: Timestamp): Boolean {
+        current(now)
         val requests = buckets.sumOf { it.requests }
         val retries = buckets.sumOf { it.retries }
         val allowed = SPENDABLE_SHARE * (ratio * requests + slack / entries.coerceAtLeast(1))
-        if (retries + 1 > allowed) return false
-        bucket.retries++
-        return true
+        return retries + 1 <= allowed
     }
 
     private fun current(now: Timestamp): Bucket {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptResult.kt
@@ -16,7 +16,8 @@
      * The caller has not received a complete answer.
      *
      * @property isCrash whether the target crashed before it sent anything of its answer
-     * @property isPause whether the target is well and asks for time
+     * @property isTargetWell whether the failure is none of the target, because it asks for time or
+     *   because the caller does not read
      * @property answer error answer of the target, which the caller receives if no other attempt
      *   follows
      */
@@ -25,6 +26,6 @@
         val detail: String,
         val answer: BufferedAnswer? = null,
         val isCrash: Boolean = false,
-        val isPause: Boolean = false,
+        val isTargetWell: Boolean = false,
     ) : AttemptResult
 }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/AttemptRunner.kt
@@ -51,11 +51,15 @@
         } else {
             null
         }
-        val attempt = Attempt(request, target, exchange, watch, coordination)
+        val attempt = AttemptExchange(request, target, exchange, watch, coordination)
         try {
             val timeLeft = timeouts.timeLeft(request)
             withTimeoutOrNull(timeLeft) { exchangeWithTarget(attempt, answer) }
-                ?: AttemptResult.Failed(AttemptEnd.SILENT, "no answer within $timeLeft ms")
+                ?: AttemptResult.Failed(
+                    AttemptEnd.SILENT,
+                    "no whole answer within $timeLeft ms",
+                    isTargetWell = attempt.isWriting,
+                )
         } catch (broken: TargetExchangeException) {
             // A target that only lost the answer still accepts connections.
             val isCrash = !attempt.hasEvents && !probe.isListening(target.address)
@@ -66,7 +70,7 @@
         }
     }
 
-    private class Attempt(
+    private class AttemptExchange(
         val request: ForwardedRequest,
         val target: KnownTarget,
         val exchange: TargetExchange,
@@ -75,9 +79,29 @@
     ) {
         /** True once the attempt has brought an event that the caller did not have. */
         var hasEvents = false
+
+        /** True while the attempt waits for the caller. */
+        var isWriting = false
+            private set
+
+        /** Ends the other attempts, and the watch on a target that has given its whole answer. */
+        fun claimAnswer() {
+            watch?.close()
+            coordination.claim()
+            isWriting = true
+        }
+
+        suspend fun write(block: suspend () -> Unit) {
+            isWriting = true
+            if (watch == null) block() else watch.pauseWhile(block)
+            isWriting = false
+        }
     }
 
-    private suspend fun exchangeWithTarget(attempt: Attempt, answer: CallerAnswer): AttemptResult {
+    private suspend fun exchangeWithTarget(
+        attempt: AttemptExchange,
+        answer: CallerAnswer,
+    ): AttemptResult {
         val request = attempt.request
         attempt.exchange.send(headersFor(request, attempt.target), request.body)
         attempt.watch?.expect("no answer", timeouts.firstAnswer(request))
@@ -98,7 +122,7 @@
         )
 
     private suspend fun handleResponse(
-        attempt: Attempt,
+        attempt: AttemptExchange,
         response: HttpClientResponse,
         answer: CallerAnswer,
     ): AttemptResult {
@@ -133,7 +157,7 @@
         head.isNotRun -> AttemptResult.Failed(
             AttemptEnd.REJECTED,
             "status ${head.status}",
-            isPause = head.pauseEnd != null,
+            isTargetWell = head.pauseEnd != null,
         )
 
         !head.echoesRequest || head.isEncoded ->
@@ -146,7 +170,7 @@
     }
 
     private suspend fun receiveFull(
-        attempt: Attempt,
+        attempt: AttemptExchange,
         response: HttpClientResponse,
         head: TargetHead,
         answer: CallerAnswer,
@@ -161,7 +185,7 @@
     }
 
     /** Appends the whole body of an answer to [body]. Returns the failure, or null. */
-    private suspend fun readBody(attempt: Attempt, body: Buffer): AttemptResult.Failed? {
+    private suspend fun readBody(attempt: AttemptExchange, body: Buffer): AttemptResult.Failed? {
         attempt.watch?.expect("no complete body", timeouts.body(attempt.request))
         while (true) {
             val bytes = attempt.exchange.nextOrNull() ?: return null
@@ -176,7 +200,7 @@
     }
 
     private suspend fun deliverFull(
-        attempt: Attempt,
+        attempt: AttemptExchange,
         response: HttpClientResponse,
         head: TargetHead,
         body: Buffer,
@@ -188,13 +212,13 @@
             val signedAnswer = buffered.takeIf { head.isSigned }
             return AttemptResult.Failed(AttemptEnd.FAILED, "status ${head.status}", signedAnswer)
         }
-        attempt.coordination.claim()
+        attempt.claimAnswer()
         answer.write(buffered.status, buffered.headers, buffered.body)
         return AttemptResult.Delivered(buffered.status)
     }
 
     private suspend fun relay(
-        attempt: Attempt,
+        attempt: AttemptExchange,
         response: HttpClientResponse,
         progress: StreamProgress,
         answer: CallerAnswer,
@@ -215,7 +239,7 @@
         if (splitter.hasPartialEvent) {
             return AttemptResult.Failed(AttemptEnd.BROKEN, "stream ended within an event")
         }
-        attempt.coordination.claim()
+        attempt.claimAnswer()
         relay.startAnswer()
         answer.end()
         return AttemptResult.Delivered(response.statusCode())
@@ -223,7 +247,7 @@
 
     /** Passes the events of one attempt on to the caller. */
     private inner class EventRelay(
-        private val attempt: Attempt,
+        private val attempt: AttemptExchange,
         private val response: HttpClientResponse,
         private val progress: StreamProgress,
         private val answer: CallerAnswer,
@@ -250,10 +274,9 @@
             }
             if (part.length() == 0) return
             startAnswer()
+            attempt.write { answer.writePart(part) }
             // Only a complete event with data counts, or a byte now and then would keep a stalled
-            // stream alive. The time in which the caller does not read is not the target's.
-            if (hasProgress) attempt.watch?.pause()
-            answer.writePart(part)
+            // stream alive.
             if (hasProgress) {
                 attempt.watch?.expect("no event", timeouts.nextEvent(attempt.request))
             }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/FleetRetryBudget.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/FleetRetryBudget.kt
@@ -21,10 +21,18 @@
     fun countRequest(pool: PoolName) = withBudget(pool) { countRequest(clock()) }
 
     /** Takes one retry to [pool] from the share of this entry. Returns false if it is used up. */
-    fun tryTake(pool: PoolName): Boolean {
+    fun tryTake(pool: PoolName): Boolean = withShare(pool) { entries, now -> tryTake(entries, now) }
+
+    /** Returns whether [tryTake] would succeed now. */
+    fun mayTake(pool: PoolName): Boolean = withShare(pool) { entries, now -> mayTake(entries, now) }
+
+    private fun withShare(
+        pool: PoolName,
+        block: WindowedRetryBudget.(entries: Int, now: Timestamp) -> Boolean,
+    ): Boolean {
         val now = clock()
         val entries = fleet.use { it.entryCount(now) }
-        return withBudget(pool) { tryTake(entries, now) }
+        return withBudget(pool) { block(entries, now) }
     }
 
     private fun <R> withBudget(pool: PoolName, block: WindowedRetryBudget.() -> R): R =
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/Forwarding.kt
@@ -1,9 +1,11 @@
 package org.vanilladale.gateway
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.raise.either
+import arrow.core.right
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -36,6 +38,9 @@
         lateinit var job: Job
         var slot: Slot? = null
         var isSilent = false
+
+        /** Whether the silence counts as a failure of the target. */
+        var isFailureCounted = false
     }
 
     private sealed interface Signal {
@@ -50,6 +55,8 @@
     /** Attempts in progress in the order of their start. */
     private val current = ArrayList<Attempt>()
     private val tried = HashSet<TargetId>()
+
+    /** Number of ended attempts that may have run. */
     private var possibleRuns = 0
     private var errorAnswer: BufferedAnswer? = null
 
@@ -61,7 +68,10 @@
             possibleRuns + running < request.route.maximumAttempts &&
             request.attempts < ResendDecision.MAXIMUM_SENDS
 
-    /** Whether the request ends if no further attempt is made. */
+    /**
+     * Whether the request ends if no further attempt is made. An error answer is passed on at once,
+     * because its caller may repeat the request, whereas a silent target may be dead.
+     */
     private val isOver: Boolean
         get() = current.isEmpty() || (errorAnswer != null && !answer.isStarted)
 
@@ -99,7 +109,10 @@
 
     /** Begins another attempt beside the silent [attempt], unless one is in progress. */
     private fun seekSubstitute(attempt: Attempt) {
-        if (current.lastOrNull() === attempt && mayRepeat) begin(isAdditional = true)
+        val isNeeded = current.lastOrNull() === attempt && attempt.isSilent
+        if (isNeeded && mayRepeat && shared.budget.mayTake(request.pool.name)) {
+            begin(isAdditional = true)
+        }
     }
 
     /** Begins another attempt after a failed one, or returns why none follows. */
@@ -121,7 +134,7 @@
         val waitedMilliseconds = shared.clock().millisecondsSince(waitsFrom)
         shared.metrics.recordWait(waitedMilliseconds, request.priority)
         val trial = admitToTarget(attempt, traits).getOrElse {
-            shared.dispatcher.release(request.pool.name, slot.target.id, shared.clock())
+            shared.dispatcher.releaseUnused(request.pool.name, slot.target.id)
             raise(it)
         }
         try {
@@ -138,9 +151,13 @@
     ): Either<Refusal, Set<RequestTrait>> {
         // A stream that has begun is continued, because its caller can't get the rest elsewhere.
         val stopRefusal = if (answer.isStarted) null else shared.refusalOfStop(request)
-        val refusal = stopRefusal
-            ?: if (attempt.isAdditional) resendRefusalOrNull(AttemptEnd.SILENT) else null
-        return refusal?.left() ?: shared.suspects.begin(traits)
+        if (stopRefusal != null) return stopRefusal.left()
+        return shared.suspects.begin(traits).flatMap { trial ->
+            val refusal =
+                if (attempt.isAdditional) resendRefusalOrNull(AttemptEnd.SILENT) else null
+            if (refusal != null) shared.suspects.end(trial)
+            refusal?.left() ?: trial.right()
+        }
     }
 
     private suspend fun runAtTarget(
@@ -159,7 +176,10 @@
             isAlone = { running == 1 },
             claim = { supersedeOthers(attempt) },
             onSilent = { detail ->
-                reports.silent(target.id, detail, startedAt, isFirst = !attempt.isSilent)
+                // A target that is the last one allowed has until the deadline.
+                val isFailure = !attempt.isFailureCounted && mayRepeat
+                if (isFailure) attempt.isFailureCounted = true
+                reports.silent(target.id, detail, startedAt, isFailure)
                 attempt.isSilent = true
                 signals.trySend(Signal.Silent(attempt))
             },
@@ -175,7 +195,7 @@
 
             is AttemptResult.Failed -> {
                 if (!result.end.provenNotRun) possibleRuns++
-                reports.failed(target.id, result, startedAt)
+                reports.failed(target.id, result, startedAt, attempt.isFailureCounted)
             }
         }
         return result
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardingReports.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardingReports.kt
@@ -26,9 +26,9 @@
         ),
     )
 
-    /** Reports that [target] is silent; it counts as a failure of the target [isFirst] time. */
-    fun silent(target: TargetId, detail: String, startedAt: Timestamp, isFirst: Boolean) {
-        if (isFirst) {
+    /** Reports that [target] is silent, which counts as its failure if [isFailure]. */
+    fun silent(target: TargetId, detail: String, startedAt: Timestamp, isFailure: Boolean) {
+        if (isFailure) {
             shared.dispatcher.observe(request.pool.name) { recordFailure(target, it) }
         }
         shared.log.log(
@@ -62,9 +62,15 @@
         answered(target, result.status)
     }
 
-    fun failed(target: TargetId, result: AttemptResult.Failed, startedAt: Timestamp) {
+    /** Reports a failed attempt, which counts as a failure of [target] unless [isCounted] already. */
+    fun failed(
+        target: TargetId,
+        result: AttemptResult.Failed,
+        startedAt: Timestamp,
+        isCounted: Boolean,
+    ) {
         if (result.isCrash) shared.suspects.recordCrash(request)
-        if (!result.isPause) {
+        if (!result.isTargetWell && !isCounted) {
             shared.dispatcher.observe(request.pool.name) { recordFailure(result.end, target, it) }
         }
         shared.log.log(
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolDispatcher.kt
@@ -66,7 +66,7 @@
             withTimeoutOrNull(waitDeadline.millisecondsLeft(clock())) { waiter.slot.await() }
                 ?: cancelWaiting(poolName, waiter)
         } catch (cancelled: CancellationException) {
-            cancelWaiting(poolName, waiter)?.let { release(poolName, it.target.id, clock()) }
+            cancelWaiting(poolName, waiter)?.let { releaseUnused(poolName, it.target.id) }
             throw cancelled
         }
         return slot?.right() ?: (waiter.refusal ?: refusalOfWaiter(poolName)).left()
@@ -107,11 +107,16 @@
     }
 
     /** Releases a slot that was taken at [takenAt]. */
-    fun release(pool: PoolName, target: TargetId, takenAt: Timestamp) {
+    fun release(pool: PoolName, target: TargetId, takenAt: Timestamp) =
+        releaseAfter(pool, target, clock().millisecondsSince(takenAt))
+
+    /** Releases a slot at which no attempt was begun. */
+    fun releaseUnused(pool: PoolName, target: TargetId) = releaseAfter(pool, target, null)
+
+    private fun releaseAfter(pool: PoolName, target: TargetId, heldMilliseconds: Long?) {
         withPool(pool) {
-            val now = clock()
-            release(target, now.millisecondsSince(takenAt))
-            fill(now)
+            release(target, heldMilliseconds)
+            fill(clock())
         }
         onLoadChanged()
     }
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/PoolState.kt
@@ -246,9 +246,10 @@
     /** Removes [waiter] from the queues. */
     fun remove(waiter: Waiter) = queues.remove(waiter)
 
-    /** Releases a slot at [target] that was held for [heldMilliseconds]. */
-    fun release(target: TargetId, heldMilliseconds: Long) {
+    /** Releases a slot at [target], held for [heldMilliseconds], or null if it was not used. */
+    fun release(target: TargetId, heldMilliseconds: Long?) {
         running.computeIfPresent(target) { _, count -> (count - 1).takeIf { it > 0 } }
+        if (heldMilliseconds == null) return
         averageServiceMilliseconds = if (averageServiceMilliseconds == 0.0) {
             heldMilliseconds.toDouble()
         } else {
--- a/gateway/src/main/kotlin/org/vanilladale/gateway/SilenceWatch.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/SilenceWatch.kt
@@ -31,28 +31,52 @@
     private var job: Job? = null
     private var wakesAt: Deadline? = null
 
-    /** Expects [what] from the target within [milliseconds] from now on. */
+    /**
+     * Expects [what] from the target within [milliseconds] from now on, and at least
+     * [LEAST_MILLISECONDS].
+     */
     fun expect(what: String, milliseconds: Long) {
         val now = clock()
-        val deadline = now.deadlineAfter(milliseconds)
-        expected = Expectation(what, now, milliseconds, deadline)
-        if (wakesAt?.let { it <= deadline } == true) return
-        job?.cancel()
-        wakesAt = deadline
-        job = scope.launch { watch() }
+        val limitMilliseconds = milliseconds.coerceAtLeast(LEAST_MILLISECONDS)
+        val deadline = now.deadlineAfter(limitMilliseconds)
+        watch(Expectation(what, now, limitMilliseconds, deadline))
     }
 
-    /** Expects nothing, for example while the caller does not read. */
-    fun pause() {
+    /** Expects nothing while [write] runs, because then it is the caller that is waited for. */
+    suspend fun pauseWhile(write: suspend () -> Unit) {
+        val interrupted = expected
+        val pausedAt = clock()
         expected = null
+        write()
+        if (interrupted == null) return
+        val now = clock()
+        val pausedMilliseconds = now.millisecondsSince(pausedAt)
+        val leftMilliseconds = interrupted.deadline.millisecondsLeft(now) + pausedMilliseconds
+        watch(
+            Expectation(
+                interrupted.what,
+                interrupted.since,
+                interrupted.limitMilliseconds,
+                now.deadlineAfter(leftMilliseconds),
+            ),
+        )
+    }
+
+    private fun watch(expectation: Expectation) {
+        expected = expectation
+        if (wakesAt?.let { it <= expectation.deadline } == true) return
+        job?.cancel()
+        wakesAt = expectation.deadline
+        job = scope.launch { run() }
     }
 
-    /** Ends the watch. */
+    /** Ends the watch. Nothing more is expected of the target. */
     fun close() {
+        expected = null
         job?.cancel()
     }
 
-    private suspend fun watch() {
+    private suspend fun run() {
         while (true) {
             val current = expected ?: break
             wakesAt = current.deadline
@@ -72,4 +96,9 @@
         }
         wakesAt = null
     }
+
+    private companion object {
+        /** A request has a few milliseconds left when the head of its answer comes late. */
+        const val LEAST_MILLISECONDS = 50L
+    }
 }
