--- a/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardingReports.kt
+++ b/gateway/src/main/kotlin/org/vanilladale/gateway/ForwardingReports.kt
@@ -62,7 +62,7 @@
         answered(target, result.status)
     }
 
-    /** Reports a failed attempt, which counts as a failure of [target] unless [isCounted] already. */
+    /** Reports a failed attempt, which counts as a failure of [target] unless [isCounted]. */
     fun failed(
         target: TargetId,
         result: AttemptResult.Failed,
