Keep the attempt of the entry program until another one may be made

A silent attempt was ended before it was known whether another one is allowed. Change: at each time limit the retry is decided first (attempts, target, budget); the attempt ends only if there is one, and otherwise goes on until the deadline. Consequence: without another target, a request to a target that never answers ends with "deadline-passed" instead of an earlier "answer-interrupted" or "target-failed".

--- a/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/RequestRunner.kt
@@ -13,6 +13,7 @@
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.core.refusal.RetryReason
 import org.vanilladale.core.retry.AttemptFailure
+import org.vanilladale.core.retry.Retry
 import org.vanilladale.core.stream.AnswerAssembler
 import org.vanilladale.runtime.ConfigurationHolder
 import org.vanilladale.runtime.SystemCounters
@@ -111,12 +112,15 @@
         val request = newRequest()
         val assembler = AnswerAssembler(request, plan.request.head.offset)
         while (true) {
-            val failure = when (val result = attempt(plan, request, target, assembler, sink)) {
+            val current = plan
+            val replacementOrNull = { router.decideRetry(current, NO_PROGRESS, tried).getOrNull() }
+            val next = when (
+                val result = attempt(plan, request, target, assembler, replacementOrNull, sink)
+            ) {
                 AttemptResult.Complete -> return suspects.completed(plan).right()
-                is AttemptResult.Failed -> result.failure
-            }
-            val next = nextAttempt(plan, failure, tried)
-                .getOrElse { return asInterruptedIfStarted(it, sink).left() }
+                is AttemptResult.Failed -> nextAttempt(plan, result.failure, tried)
+                is AttemptResult.Replaced -> startRetry(plan, result.retry, tried)
+            }.getOrElse { return asInterruptedIfStarted(it, sink).left() }
             plan = next.first
             target = next.second
         }
@@ -127,18 +131,25 @@
         failure: AttemptFailure,
         tried: MutableSet<TargetId>,
     ): Either<Refusal, Pair<RequestPlan, TargetId>> = either {
-        val next = if (failure.retryReason == RetryReason.SUSPECT_ISOLATED) {
+        if (failure.retryReason == RetryReason.SUSPECT_ISOLATED) {
             ensure(!plan.wasWithdrawn) { failure.refusal }
             counters.retried(RetryReason.SUSPECT_ISOLATED)
             // The target did not fail, so it is not excluded and the retry budget is not charged.
             suspects.chooseFirst(plan.copy(wasWithdrawn = true), router).bind()
+                .also { tried += it.second }
         } else {
             val retry = router.decideRetry(plan, failure, tried).bind()
-            counters.retried(retry.reason)
-            suspects.chooseRetry(plan, retry.target, router).bind()
+            startRetry(plan, retry, tried).bind()
         }
-        tried += next.second
-        next
+    }
+
+    private suspend fun startRetry(
+        plan: RequestPlan,
+        retry: Retry,
+        tried: MutableSet<TargetId>,
+    ): Either<Refusal, Pair<RequestPlan, TargetId>> {
+        counters.retried(retry.reason)
+        return suspects.chooseRetry(plan, retry.target, router).onRight { tried += it.second }
     }
 
     private suspend fun attempt(
@@ -146,9 +157,10 @@
         request: RequestId,
         target: TargetId,
         assembler: AnswerAssembler,
+        replacementOrNull: () -> Retry?,
         sink: AnswerSink,
     ): AttemptResult = try {
-        call(plan, request, target)?.run(assembler) { sink.write(it, target) }
+        call(plan, request, target)?.run(assembler, replacementOrNull) { sink.write(it, target) }
             ?: AttemptResult.Failed(AttemptFailure.fromRetryReason(RetryReason.CONNECT_FAILED))
     } finally {
         router.finished(plan.pool.name, target)
@@ -171,4 +183,8 @@
         } else {
             refusal
         }
+
+    private companion object {
+        val NO_PROGRESS = AttemptFailure.fromRetryReason(RetryReason.NO_PROGRESS)
+    }
 }
