--- a/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AttemptCall.kt
@@ -5,7 +5,6 @@
 import org.vanilladale.core.refusal.RefusalReason
 import org.vanilladale.core.refusal.RetryReason
 import org.vanilladale.core.retry.AttemptFailure
-import org.vanilladale.core.retry.Retry
 import org.vanilladale.core.stream.AnswerAssembler
 import org.vanilladale.core.stream.AssemblyStep
 import org.vanilladale.core.stream.AttemptStart
@@ -31,15 +30,9 @@
     private val clock: () -> Timestamp,
     private val onLoad: (TargetId, Load) -> Unit,
 ) {
-    /**
-     * Runs the attempt and passes each new line of the answer to [deliver].
-     *
-     * @param replacementOrNull called each time the target has been silent for too long; the
-     *   attempt goes on unless another one is returned
-     */
+    /** Runs the attempt and passes each new line of the answer to [deliver]. */
     suspend fun run(
         assembler: AnswerAssembler,
-        replacementOrNull: () -> Retry?,
         deliver: suspend (AnswerLine) -> Unit,
     ): AttemptResult {
         val start = assembler.startAttempt()
@@ -51,9 +44,9 @@
                 return failed(RetryReason.CONNECT_FAILED)
             }
             val result = withTimeoutOrNull(plan.deadline.millisecondsLeft(clock())) {
-                receive(events, assembler, replacementOrNull, deliver)
+                receive(events, assembler, deliver)
             }
-            ended = result != null && result !is AttemptResult.Replaced
+            ended = result != null && result != failed(RetryReason.NO_PROGRESS)
             return result ?: refused(Refusal(RefusalReason.DEADLINE_PASSED))
         } finally {
             link.close(request, events)
@@ -64,38 +57,26 @@
     private suspend fun receive(
         events: AttemptEvents,
         assembler: AnswerAssembler,
-        replacementOrNull: () -> Retry?,
         deliver: suspend (AnswerLine) -> Unit,
     ): AttemptResult {
         var wait = timing.firstAnswerMilliseconds
         while (true) {
             // Events that are already queued are taken without starting a timer.
             val event = events.pollOrNull()
-            if (event != null) {
-                onEvent(event, assembler, deliver)?.let { return it }
-                wait = timing.progressMilliseconds
-            } else if (events.areSilentFor(wait)) {
-                replacementOrNull()?.let { return AttemptResult.Replaced(it) }
-            }
-        }
-    }
+                ?: withTimeoutOrNull(wait) { events.receive() }
+                ?: return failed(RetryReason.NO_PROGRESS)
+            val result = when (event) {
+                is AttemptEvent.Lost -> failed(event.reason)
 
-    /** An event that is taken within the time limit could be lost, so it is only awaited here. */
-    private suspend fun AttemptEvents.areSilentFor(milliseconds: Long): Boolean =
-        withTimeoutOrNull(milliseconds) { awaitAdded() } == null
+                // A retry would not help, because the caller would read it just as slowly.
+                AttemptEvent.Overflowed ->
+                    refused(Refusal(RefusalReason.ANSWER_INTERRUPTED, detail = TOO_SLOW))
 
-    private suspend fun onEvent(
-        event: AttemptEvent,
-        assembler: AnswerAssembler,
-        deliver: suspend (AnswerLine) -> Unit,
-    ): AttemptResult? = when (event) {
-        is AttemptEvent.Lost -> failed(event.reason)
-
-        // A retry would not help, because the caller would read it just as slowly.
-        AttemptEvent.Overflowed ->
-            refused(Refusal(RefusalReason.ANSWER_INTERRUPTED, detail = TOO_SLOW))
-
-        is AttemptEvent.Received -> onFrame(event, assembler, deliver)
+                is AttemptEvent.Received -> onFrame(event, assembler, deliver)
+            }
+            if (result != null) return result
+            wait = timing.progressMilliseconds
+        }
     }
 
     private suspend fun onFrame(
--- a/entry/src/main/kotlin/org/vanilladale/entry/AttemptEvents.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AttemptEvents.kt
@@ -29,11 +29,6 @@
         }
     }
 
-    /** Suspends until an event may have been added, without taking it. */
-    suspend fun awaitAdded() {
-        added.receive()
-    }
-
     /** Returns the next event, or null if there is none. */
     @Synchronized
     fun pollOrNull(): AttemptEvent? = waiting.pollOrNull()?.let { AttemptEvent.Received(it) }
--- a/entry/src/main/kotlin/org/vanilladale/entry/AttemptTiming.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/AttemptTiming.kt
@@ -1,7 +1,7 @@
 package org.vanilladale.entry
 
 /**
- * Time limits after which a silent target may be replaced by another one.
+ * Time limits of one attempt.
  *
  * @property firstAnswerMilliseconds maximum wait for the first part of an answer
  * @property progressMilliseconds maximum wait between two parts
--- a/entry/src/main/kotlin/org/vanilladale/entry/HedgedLookup.kt
+++ b/entry/src/main/kotlin/org/vanilladale/entry/HedgedLookup.kt
@@ -3,13 +3,11 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.selects.select
 import org.vanilladale.core.refusal.RetryReason
 import org.vanilladale.core.retry.AttemptFailure
-import org.vanilladale.core.retry.Retry
 import org.vanilladale.core.stream.AnswerAssembler
 import org.vanilladale.runtime.SystemCounters
 import org.vanilladale.schema.AnswerLine
@@ -17,7 +15,7 @@
 import org.vanilladale.schema.Timestamp
 
 /**
- * Runs an idempotent look-up, and sends it to other targets as well if the answer is delayed.
+ * Runs an idempotent look-up, and sends it to a second target if the answer is delayed.
  *
  * Each attempt buffers its answer, and only the first complete answer is written to the caller.
  * This keeps parts of two answers from being mixed.
@@ -34,7 +32,7 @@
     )
 
     /**
-     * Runs the look-up at the only target in [tried]. Targets of further attempts are added to it.
+     * Runs the look-up at the only target in [tried]. The target of a hedge is added to [tried].
      *
      * @param createCall creates the call of one attempt, or returns null if the target has no link
      * @return the failure of the attempt that ended last, or null if the answer was written
@@ -45,35 +43,24 @@
         sink: AnswerSink,
         createCall: (TargetId) -> AttemptCall?,
     ): AttemptFailure? = coroutineScope {
-        val silences = Channel<Unit>(Channel.CONFLATED)
-        val startAt = { target: TargetId ->
-            start(plan, target, createCall) { silences.trySend(Unit) }
-        }
-        val running = mutableListOf(startAt(tried.single()))
+        val running = mutableListOf(start(plan, tried.single(), createCall))
         var hedge: Deferred<Unit>? = async { delay(plan.route.hedgeDelayMilliseconds) }
         val hedgeAt = clock().deadlineAfter(plan.route.hedgeDelayMilliseconds)
         var failure: AttemptFailure? = null
         var answered = false
         while (running.isNotEmpty() && !answered) {
-            var retry: Retry? = null
             val ended = select<Deferred<CollectedAnswer>?> {
                 running.forEach { attempt -> attempt.onAwait { attempt } }
-                hedge?.onAwait {
-                    hedge = null
-                    retry = router.decideHedgeOrNull(plan, hedgeAt, tried)
-                    null
-                }
-                silences.onReceive {
-                    retry = router.decideRetry(plan, NO_PROGRESS, tried).getOrNull()
-                    null
-                }
+                hedge?.onAwait { null }
             }
-            retry?.let {
-                counters.retried(it.reason)
-                tried += it.target
-                running += startAt(it.target)
-            }
-            if (ended != null) {
+            if (ended == null) {
+                hedge = null
+                router.decideHedgeOrNull(plan, hedgeAt, tried)?.let { retry ->
+                    counters.retried(RetryReason.HEDGE)
+                    tried += retry.target
+                    running += start(plan, retry.target, createCall)
+                }
+            } else {
                 running -= ended
                 failure = deliver(ended.await(), sink)
                 answered = failure == null
@@ -92,15 +79,12 @@
             }
 
             is AttemptResult.Failed -> result.failure
-
-            is AttemptResult.Replaced -> error("an attempt at a look-up is not replaced")
         }
 
     private fun CoroutineScope.start(
         plan: RequestPlan,
         target: TargetId,
         createCall: (TargetId) -> AttemptCall?,
-        onSilent: () -> Unit,
     ): Deferred<CollectedAnswer> = async {
         val lines = mutableListOf<AnswerLine>()
         try {
@@ -109,16 +93,11 @@
                 AttemptResult.Failed(AttemptFailure.fromRetryReason(RetryReason.CONNECT_FAILED))
             } else {
                 val offset = plan.request.head.offset
-                val replacementOrNull = { onSilent().let { null } }
-                call.run(AnswerAssembler(call.request, offset), replacementOrNull) { lines += it }
+                call.run(AnswerAssembler(call.request, offset)) { lines += it }
             }
             CollectedAnswer(target, result, lines)
         } finally {
             router.finished(plan.pool.name, target)
         }
     }
-
-    private companion object {
-        val NO_PROGRESS = AttemptFailure.fromRetryReason(RetryReason.NO_PROGRESS)
-    }
 }
